lib, fakeplatform, fakebackend: add adapters and stand-ins

Cause: the daemon and the tests need settings, logs, the platform and backend servers. Ruled out: decoding TOML straight into the generated types (the first fault would hide the others, and defaults of custom types do not compile). Conclusion: the programs share one way to report faults.

--- /dev/null
+++ b/fakebackend/internal/cmd/servecmd.go
@@ -0,0 +1,113 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/fakebackend/internal/fleet"
+	"goldcreststand.example/lib/cli"
+	"goldcreststand.example/schema/wire"
+)
+
+type serveFlags struct {
+	service  string
+	version  string
+	domains  string
+	base     string
+	platform string
+	count    int
+	slots    int
+	work     time.Duration
+}
+
+func newServeCmd(cfg *Config) *cli.Command {
+	var f serveFlags
+	return &cli.Command{
+		Name:  "serve",
+		Short: "serve as the backend servers of one service until a signal comes",
+		Flags: func(fs *flag.FlagSet) {
+			fs.StringVar(&f.service, "service", "inventory", "name of the service")
+			fs.StringVar(&f.version, "version", "v1", "version of the service")
+			fs.StringVar(&f.domains, "domains", "d1,d2,d3,d4", "failure domains, used in turn")
+			fs.StringVar(&f.base, "base", "127.0.0.1:9100", "address of the first server; the others use the ports after it")
+			fs.StringVar(&f.platform, "platform", "http://127.0.0.1:7000", "base URL of the platform")
+			fs.IntVar(&f.count, "count", 18, "number of servers")
+			fs.IntVar(&f.slots, "slots", 4, "calls that a server works on at a time")
+			fs.DurationVar(&f.work, "work", 5*time.Millisecond, "time that a call takes")
+		},
+		Run: func(ctx context.Context, _ []string) error { return cfg.runServeCmd(ctx, f) },
+	}
+}
+
+func (cfg *Config) runServeCmd(ctx context.Context, f serveFlags) error {
+	servers, err := f.servers()
+	if err != nil {
+		return cli.Exit(cli.ExitUsage, err)
+	}
+	fl, err := fleet.Start(servers, f.work)
+	if err != nil {
+		return err
+	}
+	defer fl.Close()
+	if err := f.register(ctx, servers); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(cfg.Out, "fakebackend: %d servers of %s from %s\n", f.count, f.service, f.base)
+	<-ctx.Done()
+	return nil
+}
+
+func (f *serveFlags) servers() ([]wire.Server, error) {
+	base, err := netip.ParseAddrPort(f.base)
+	if err != nil {
+		return nil, err
+	}
+	domains := strings.Split(f.domains, ",")
+	out := make([]wire.Server, f.count)
+	for i := range out {
+		out[i] = wire.Server{
+			ID:          ident.ServerID(fmt.Sprintf("%s-%s-%d", f.service, f.version, i)),
+			Address:     netip.AddrPortFrom(base.Addr(), base.Port()+uint16(i)),
+			Domain:      ident.DomainName(domains[i%len(domains)]),
+			Version:     ident.VersionName(f.version),
+			Slots:       ident.Slots(f.slots),
+			Connections: fleet.MaxConnections,
+			Incarnation: 1,
+		}
+	}
+	return out, nil
+}
+
+// register tells the platform stand-in about the servers.
+func (f *serveFlags) register(ctx context.Context, servers []wire.Server) error {
+	b, err := json.Marshal(&wire.Listing{
+		Service:  ident.ServiceName(f.service),
+		Revision: ident.Revision(time.Now().UnixMilli()),
+		Servers:  servers,
+	})
+	if err != nil {
+		return err
+	}
+	url := f.platform + "/control/instances/" + f.service
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("platform refused the servers of %s: %s", f.service, resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/fakeplatform/internal/store/handler.go
@@ -0,0 +1,155 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/labstack/echo/v4"
+)
+
+// Sizes and times of the HTTP interface.
+const (
+	// maxValue is the largest value in bytes.
+	maxValue = 1 << 20
+	// maxWait is the longest wait of a watch.
+	maxWait = 60 * time.Second
+	// instances is the collection behind the instance list.
+	instances = "instances"
+)
+
+type handler struct {
+	store *Store
+}
+
+// NewHandler returns the HTTP interface of a store.
+func NewHandler(s *Store) http.Handler {
+	h := &handler{store: s}
+	e := echo.New()
+	e.GET("/objects/:collection", h.list)
+	e.GET("/objects/:collection/:name", h.get)
+	e.PUT("/objects/:collection/:name", h.put)
+	e.GET("/instances/:name", h.getInstances)
+	e.PUT("/control/instances/:name", h.setInstances)
+	return e
+}
+
+func (h *handler) get(c echo.Context) error {
+	return h.serve(c, Key{Collection: c.Param("collection"), Name: c.Param("name")})
+}
+
+func (h *handler) getInstances(c echo.Context) error {
+	return h.serve(c, Key{Collection: instances, Name: c.Param("name")})
+}
+
+func (h *handler) serve(c echo.Context, k Key) error {
+	return h.watch(c, func() (string, []byte, <-chan struct{}, bool) {
+		o, changed, err := h.store.Get(k)
+		return tagOf(o.Version), o.Value, changed, err == nil
+	})
+}
+
+func (h *handler) list(c echo.Context) error {
+	return h.watch(c, func() (string, []byte, <-chan struct{}, bool) {
+		names, changed := h.store.Names(c.Param("collection"))
+		b, err := json.Marshal(map[string][]string{"names": names})
+		return fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(b), 16)), b, changed, err == nil
+	})
+}
+
+// watch answers with the value that read returns, once its tag differs from the If-None-Match
+// header or the wait of the Prefer header is over.
+func (h *handler) watch(c echo.Context, read func() (string, []byte, <-chan struct{}, bool)) error {
+	old := c.Request().Header.Get("If-None-Match")
+	timer := time.NewTimer(waitOf(c.Request().Header.Get("Prefer")))
+	defer timer.Stop()
+	for {
+		tag, value, changed, ok := read()
+		if !ok && old == "" {
+			return echo.NewHTTPError(http.StatusNotFound)
+		}
+		if ok && tag != old {
+			c.Response().Header().Set("ETag", tag)
+			return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, value)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return c.NoContent(http.StatusNotModified)
+		case <-c.Request().Context().Done():
+			return c.Request().Context().Err()
+		}
+	}
+}
+
+func (h *handler) put(c echo.Context) error {
+	k := Key{Collection: c.Param("collection"), Name: c.Param("name")}
+	expect, err := expected(c.Request().Header)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusPreconditionRequired, err.Error())
+	}
+	b, err := readValue(c)
+	if err != nil {
+		return err
+	}
+	v, err := h.store.Put(k, expect, b)
+	if ErrConflict.Has(err) {
+		return echo.NewHTTPError(http.StatusPreconditionFailed, err.Error())
+	}
+	if err != nil {
+		return err
+	}
+	c.Response().Header().Set("ETag", tagOf(v))
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (h *handler) setInstances(c echo.Context) error {
+	b, err := readValue(c)
+	if err != nil {
+		return err
+	}
+	h.store.Set(Key{Collection: instances, Name: c.Param("name")}, b)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func readValue(c echo.Context) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(c.Request().Body, maxValue+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(b) > maxValue {
+		return nil, echo.NewHTTPError(http.StatusRequestEntityTooLarge)
+	}
+	if !json.Valid(b) {
+		return nil, echo.NewHTTPError(http.StatusBadRequest, "value is not JSON")
+	}
+	return b, nil
+}
+
+// expected returns the version that the request's condition names.
+func expected(h http.Header) (Version, error) {
+	if h.Get("If-None-Match") == "*" {
+		return Absent, nil
+	}
+	v, err := strconv.ParseUint(strings.Trim(h.Get("If-Match"), `"`), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("If-Match or If-None-Match: * is missing")
+	}
+	return Version(v), nil
+}
+
+func tagOf(v Version) string { return fmt.Sprintf("%q", strconv.FormatUint(uint64(v), 10)) }
+
+func waitOf(prefer string) time.Duration {
+	s, ok := strings.CutPrefix(prefer, "wait=")
+	n, err := strconv.Atoi(s)
+	if !ok || err != nil || n < 0 {
+		return 0
+	}
+	return min(time.Duration(n)*time.Second, maxWait)
+}
--- /dev/null
+++ b/lib/conf/loader.go
@@ -0,0 +1,141 @@
+package conf
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"github.com/zeebo/errs"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// schemaURL is the name under which a Loader compiles its schema.
+const schemaURL = "settings.json"
+
+// Error is the class of the errors of this package that are not Findings.
+var Error = errs.Class("conf")
+
+// Loader decodes TOML settings that a JSON Schema describes.
+type Loader struct {
+	schema   *jsonschema.Schema
+	defaults []byte
+	printer  *message.Printer
+}
+
+// NewLoader returns a Loader for a JSON Schema. Values of defaults, a TOML text, stand for settings
+// that a file leaves out.
+func NewLoader(schema, defaults []byte) (*Loader, error) {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource(schemaURL, doc); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	s, err := c.Compile(schemaURL)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &Loader{schema: s, defaults: defaults, printer: message.NewPrinter(language.English)}, nil
+}
+
+// LoadFile reads the file and decodes it into v. Faults of the file's content are Findings.
+func (l *Loader) LoadFile(file string, v any) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return l.Load(file, b, v)
+}
+
+// Load decodes the TOML text into v. Faults of the text are Findings, placed in the named file.
+func (l *Loader) Load(file string, text []byte, v any) error {
+	doc := make(map[string]any)
+	if err := toml.Unmarshal(l.defaults, &doc); err != nil {
+		return Error.Wrap(err)
+	}
+	own := make(map[string]any)
+	if err := toml.Unmarshal(text, &own); err != nil {
+		return syntaxFindings(file, err)
+	}
+	merge(doc, own)
+	b, err := json.Marshal(doc)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	inst, err := jsonschema.UnmarshalJSON(bytes.NewReader(b))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if err := l.schema.Validate(inst); err != nil {
+		return l.schemaFindings(file, text, err)
+	}
+	if err := json.Unmarshal(b, v); err != nil {
+		return Findings{{File: file, Message: err.Error()}}
+	}
+	return nil
+}
+
+func (l *Loader) schemaFindings(file string, text []byte, err error) error {
+	var invalid *jsonschema.ValidationError
+	if !errors.As(err, &invalid) {
+		return Error.Wrap(err)
+	}
+	at := places(text)
+	var out Findings
+	for _, leaf := range leaves(invalid) {
+		out = append(out, l.leafFindings(file, at, leaf)...)
+	}
+	return out.sorted()
+}
+
+func (l *Loader) leafFindings(file string, at index, leaf *jsonschema.ValidationError) Findings {
+	if extra, ok := leaf.ErrorKind.(*kind.AdditionalProperties); ok {
+		var out Findings
+		for _, p := range extra.Properties {
+			path := append(append([]string(nil), leaf.InstanceLocation...), p)
+			out = append(out, at.finding(file, path, "unknown setting"))
+		}
+		return out
+	}
+	return Findings{at.finding(file, leaf.InstanceLocation, leaf.ErrorKind.LocalizedString(l.printer))}
+}
+
+func leaves(e *jsonschema.ValidationError) []*jsonschema.ValidationError {
+	if len(e.Causes) == 0 {
+		return []*jsonschema.ValidationError{e}
+	}
+	var out []*jsonschema.ValidationError
+	for _, c := range e.Causes {
+		out = append(out, leaves(c)...)
+	}
+	return out
+}
+
+// merge lays the values of src over those of dst.
+func merge(dst, src map[string]any) {
+	for k, v := range src {
+		sub, ok := v.(map[string]any)
+		old, both := dst[k].(map[string]any)
+		if ok && both {
+			merge(old, sub)
+			continue
+		}
+		dst[k] = v
+	}
+}
+
+func syntaxFindings(file string, err error) error {
+	var d *toml.DecodeError
+	if !errors.As(err, &d) {
+		return Findings{{File: file, Message: err.Error()}}
+	}
+	line, col := d.Position()
+	return Findings{{File: file, Line: line, Column: col, Message: d.Error()}}
+}
--- /dev/null
+++ b/lib/plat/client.go
@@ -0,0 +1,149 @@
+// Package plat is the client of the platform: its object store and its instance list. It speaks
+// HTTP with entity tags and conditional requests (RFC 9110) and long polls by "Prefer: wait"
+// (RFC 7240).
+package plat
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// MaxValue is the largest value of an object in bytes.
+const MaxValue = 1 << 20
+
+// Errors of this package.
+var (
+	// Error is the class of errors that leave the outcome of a write unknown.
+	Error = errs.Class("platform")
+	// ErrConflict is the class of conditional writes that the platform refused: nothing was written.
+	ErrConflict = errs.Class("platform conflict")
+	// ErrNotFound is the class of reads of objects that do not exist.
+	ErrNotFound = errs.Class("platform object not found")
+)
+
+// Tag is the entity tag of one version of an object. The empty tag stands for an absent object.
+type Tag string
+
+// Client calls the platform.
+type Client struct {
+	base    string
+	hc      *http.Client
+	timeout time.Duration
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithHTTPClient sets the HTTP client.
+func WithHTTPClient(hc *http.Client) Option { return func(c *Client) { c.hc = hc } }
+
+// New returns a client of the platform at the base URL. Each call ends after the timeout, a watch
+// after the timeout and its wait.
+func New(base string, timeout time.Duration, opts ...Option) *Client {
+	c := &Client{base: base, hc: &http.Client{}, timeout: timeout}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// Get reads the value at the path into v and returns its tag.
+func (c *Client) Get(ctx context.Context, path string, v any) (Tag, error) {
+	tag, _, err := c.read(ctx, path, "", 0, v)
+	return tag, err
+}
+
+// Watch waits until the value at the path differs from the tag's version, for wait at most. It
+// reports whether there was a change, and then has read the value into v.
+func (c *Client) Watch(ctx context.Context, path string, tag Tag, wait time.Duration, v any) (Tag, bool, error) {
+	return c.read(ctx, path, tag, wait, v)
+}
+
+// Put writes the value when the object still has the tag, and returns the new tag.
+func (c *Client) Put(ctx context.Context, path string, tag Tag, v any) (Tag, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	if len(b) > MaxValue {
+		return "", ErrConflict.New("value of %s has %d bytes, at most %d are allowed", path, len(b), MaxValue)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, c.base+path, bytes.NewReader(b))
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if tag == "" {
+		req.Header.Set("If-None-Match", "*")
+	} else {
+		req.Header.Set("If-Match", string(tag))
+	}
+	resp, err := c.hc.Do(req)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		return Tag(resp.Header.Get("ETag")), nil
+	case http.StatusPreconditionFailed:
+		return "", ErrConflict.New("%s was changed by someone else", path)
+	default:
+		return "", Error.New("write of %s: %s", path, resp.Status)
+	}
+}
+
+func (c *Client) read(ctx context.Context, path string, tag Tag, wait time.Duration, v any) (Tag, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return "", false, Error.Wrap(err)
+	}
+	if tag != "" {
+		req.Header.Set("If-None-Match", string(tag))
+	}
+	if wait > 0 {
+		req.Header.Set("Prefer", fmt.Sprintf("wait=%d", int(wait/time.Second)))
+	}
+	resp, err := c.hc.Do(req)
+	if err != nil {
+		return "", false, Error.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return tag, false, nil
+	case http.StatusNotFound:
+		return "", false, ErrNotFound.New("%s", path)
+	default:
+		return "", false, Error.New("read of %s: %s", path, resp.Status)
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, MaxValue+1))
+	if err != nil {
+		return "", false, Error.Wrap(err)
+	}
+	if err := json.Unmarshal(b, v); err != nil {
+		return "", false, Error.New("value of %s: %w", path, err)
+	}
+	return Tag(resp.Header.Get("ETag")), true, nil
+}
+
+// ObjectPath returns the path of an object. The parts of a key are joined by slashes.
+func ObjectPath(collection, name string) string {
+	return "/objects/" + url.PathEscape(collection) + "/" + url.PathEscape(name)
+}
+
+// InstancesPath returns the path of the list of a service's backend servers.
+func InstancesPath(service string) string { return "/instances/" + url.PathEscape(service) }
