goldcreststand, goldctl, goldload: serve a call from end to end

Cause: one path has to exist in the final shape before parts grow on it. Ruled out: keep-alive connections to backend servers for now, because net/http resends some requests on a broken reused connection. Conclusion: an edit by the client takes effect and calls get responses; membership, limits, retries and version rollouts come next.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+MODULES := core fakebackend fakeplatform goldcreststand goldctl goldload lib schema
+PATTERNS := $(MODULES:%=./%/...)
+PROGRAMS := fakebackend fakeplatform goldcreststand goldctl goldload
+# The linter has no tool block: its whole module graph does not resolve.
+LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+.PHONY: build check demo format generate lint test tidy tools
+
+build:
+	go build -o bin/ $(PROGRAMS:%=./%)
+
+tools:
+	GOWORK=off go build -C tools -o ../bin/ tool
+	GOWORK=off GOBIN=$(CURDIR)/bin go install $(LINTER)
+
+generate:
+	for m in $(MODULES); do (cd $$m && PATH="$(CURDIR)/bin:$$PATH" go generate ./...) || exit 1; done
+
+format:
+	bin/gofumpt -w $(MODULES)
+
+lint:
+	test -z "$$(bin/gofumpt -l $(MODULES) | tee /dev/stderr)"
+	bin/golangci-lint run $(PATTERNS)
+
+test:
+	go test -race $(PATTERNS)
+
+check: lint
+	$(MAKE) generate
+	git diff --exit-code -- '*_gen.go' '*_enumer.go'
+	go vet $(PATTERNS)
+	$(MAKE) build test
+
+tidy:
+	for m in $(MODULES); do (cd $$m && go mod tidy) || exit 1; done
--- /dev/null
+++ b/goldcreststand/internal/admin/handler.go
@@ -0,0 +1,57 @@
+// Package admin serves operators: status, health and metrics of an instance.
+package admin
+
+import (
+	"cmp"
+	"expvar"
+	"net/http"
+	"slices"
+
+	"github.com/labstack/echo/v4"
+
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/route"
+	"goldcreststand.example/schema/wire"
+)
+
+// Snapshots gives the newest snapshot.
+type Snapshots interface {
+	Load() *route.Snapshot
+}
+
+// Handler serves operators.
+type Handler struct {
+	id        ident.InstanceID
+	domain    ident.DomainName
+	snapshots Snapshots
+}
+
+// New returns the HTTP interface for operators.
+func New(id ident.InstanceID, domain ident.DomainName, s Snapshots) http.Handler {
+	h := &Handler{id: id, domain: domain, snapshots: s}
+	e := echo.New()
+	e.GET("/status", h.status)
+	e.GET("/livez", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	e.GET("/readyz", h.ready)
+	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
+	return e
+}
+
+func (h *Handler) status(c echo.Context) error {
+	v := wire.View{ID: h.id, Domain: h.domain, State: wire.ViewStateStarting, Tables: []wire.Held{}, Members: []wire.Member{}}
+	for n, s := range h.snapshots.Load().Services {
+		v.Tables = append(v.Tables, wire.Held{Key: "tables/" + string(n), Revision: s.Revision})
+	}
+	slices.SortFunc(v.Tables, func(a, b wire.Held) int { return cmp.Compare(a.Key, b.Key) })
+	if len(v.Tables) > 0 {
+		v.State = wire.ViewStateReady
+	}
+	return c.JSON(http.StatusOK, v)
+}
+
+func (h *Handler) ready(c echo.Context) error {
+	if len(h.snapshots.Load().Services) == 0 {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	return c.NoContent(http.StatusOK)
+}
--- /dev/null
+++ b/goldcreststand/internal/cmd/listener.go
@@ -0,0 +1,64 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// listener is one HTTP server of the daemon.
+type listener struct {
+	name string
+	srv  *http.Server
+}
+
+type infoLog interface {
+	Infof(format string, args ...any)
+}
+
+// serveAll serves until the context ends or a listener fails, then waits for calls in flight for the
+// drain time at most.
+func serveAll(ctx context.Context, ls []*listener, drain time.Duration, log infoLog) error {
+	failed := make(chan error, len(ls))
+	for _, l := range ls {
+		sock, err := net.Listen("tcp", l.srv.Addr)
+		if err != nil {
+			return errs.Combine(err, closeAll(ls))
+		}
+		log.Infof("%s listens on %s", l.name, sock.Addr())
+		go func() { failed <- l.srv.Serve(sock) }()
+	}
+	select {
+	case err := <-failed:
+		return errs.Combine(err, closeAll(ls))
+	case <-ctx.Done():
+	}
+	log.Infof("draining calls in flight")
+	return shutdown(ls, drain)
+}
+
+func shutdown(ls []*listener, drain time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), drain)
+	defer cancel()
+	var group errs.Group
+	for _, l := range ls {
+		err := l.srv.Shutdown(ctx)
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		group.Add(err)
+	}
+	return group.Err()
+}
+
+func closeAll(ls []*listener) error {
+	var group errs.Group
+	for _, l := range ls {
+		group.Add(l.srv.Close())
+	}
+	return group.Err()
+}
--- /dev/null
+++ b/goldcreststand/internal/ctrl/events.go
@@ -0,0 +1,51 @@
+package ctrl
+
+import (
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/roster"
+	"goldcreststand.example/core/table"
+)
+
+// TableSeen says that a routing table was read, from the platform or another instance.
+type TableSeen struct{ Table *table.Table }
+
+// ListingSeen says that a list of backend servers was read.
+type ListingSeen struct{ Listing *roster.Listing }
+
+// CatalogSeen names all services that have a routing table.
+type CatalogSeen struct{ Services []ident.ServiceName }
+
+// WatchServices asks for watches on the tables and lists of exactly these services.
+type WatchServices struct{ Services []ident.ServiceName }
+
+// tick says that time has passed.
+type tick struct{}
+
+var (
+	_ Event = TableSeen{}
+	_ Event = ListingSeen{}
+	_ Event = CatalogSeen{}
+	_ Event = tick{}
+)
+
+func (e TableSeen) apply(st *state) []Action {
+	s := st.service(e.Table.Service)
+	if e.Table.Newer(s.table) {
+		s.table = e.Table
+	}
+	return nil
+}
+
+func (e ListingSeen) apply(st *state) []Action {
+	s := st.service(e.Listing.Service)
+	if e.Listing.Newer(s.listing) {
+		s.listing = e.Listing
+	}
+	return nil
+}
+
+func (e CatalogSeen) apply(*state) []Action {
+	return []Action{WatchServices(e)}
+}
+
+func (tick) apply(*state) []Action { return nil }
--- /dev/null
+++ b/goldcreststand/internal/ctrl/state.go
@@ -0,0 +1,103 @@
+package ctrl
+
+import (
+	"net/netip"
+	"time"
+
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/place"
+	"goldcreststand.example/core/roster"
+	"goldcreststand.example/core/route"
+	"goldcreststand.example/core/table"
+)
+
+// Self describes this instance.
+type Self struct {
+	ID      ident.InstanceID
+	Domain  ident.DomainName
+	Traffic netip.AddrPort
+	// Count is the number of instances that serve a service.
+	Count int
+}
+
+// state is all control state. Only the control goroutine touches it.
+type state struct {
+	self  Self
+	now   time.Time
+	nodes []place.Node
+	// addresses holds the traffic address of each known instance.
+	addresses map[ident.InstanceID]netip.AddrPort
+	services  map[ident.ServiceName]*service
+}
+
+// service is the control state of one service.
+type service struct {
+	table   *table.Table
+	listing *roster.Listing
+	loads   map[ident.ServerID]*route.Load
+}
+
+func newState(self Self) *state {
+	return &state{
+		self:      self,
+		nodes:     []place.Node{{ID: self.ID, Domain: self.Domain}},
+		addresses: map[ident.InstanceID]netip.AddrPort{self.ID: self.Traffic},
+		services:  make(map[ident.ServiceName]*service),
+	}
+}
+
+// service returns the state of the named service and creates it when it is new.
+func (st *state) service(n ident.ServiceName) *service {
+	s, ok := st.services[n]
+	if !ok {
+		s = &service{loads: make(map[ident.ServerID]*route.Load)}
+		st.services[n] = s
+	}
+	return s
+}
+
+// snapshot builds what traffic may know.
+func (st *state) snapshot() *route.Snapshot {
+	out := &route.Snapshot{Services: make(map[ident.ServiceName]*route.Service, len(st.services))}
+	for n, s := range st.services {
+		if s.table != nil {
+			out.Services[n] = st.serviceSnapshot(n, s)
+		}
+	}
+	return out
+}
+
+func (st *state) serviceSnapshot(n ident.ServiceName, s *service) *route.Service {
+	out := &route.Service{Name: n, Revision: s.table.Revision}
+	serving := place.Serving(n, st.nodes, st.self.Count)
+	for _, node := range serving {
+		out.Entries = append(out.Entries, st.addresses[node.ID])
+		out.Local = out.Local || node.ID == st.self.ID
+	}
+	if !out.Local || s.listing == nil {
+		return out
+	}
+	for _, b := range s.listing.Servers {
+		if srv := s.server(b, len(serving)); srv != nil {
+			out.Servers = append(out.Servers, srv)
+		}
+	}
+	return out
+}
+
+// server returns the backend server as this instance may use it, or nil when it takes no work.
+func (s *service) server(b roster.Server, serving int) *route.Server {
+	w, ok := route.Rows(s.table, b.ID, b.Domain, b.Version)
+	if !ok || b.Leaving {
+		return nil
+	}
+	l, ok := s.loads[b.ID]
+	if !ok {
+		l = new(route.Load)
+		s.loads[b.ID] = l
+	}
+	return &route.Server{
+		ID: b.ID, Address: b.Address, Domain: b.Domain, Version: b.Version, Weight: w,
+		Share: max(1, b.Slots/ident.Slots(serving)), Load: l,
+	}
+}
