core/route: add the outcome that traffic reports to control

Cause: health, limits and rollouts judge backend servers by the same facts. Ruled out: a type per consumer, which would count a try differently in each. Measured: nothing; no behaviour changes. Conclusion: the parts can be built side by side on one type.

--- a/goldcreststand/internal/ctrl/events.go
+++ b/goldcreststand/internal/ctrl/events.go
@@ -3,6 +3,7 @@
 import (
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/roster"
+	"goldcreststand.example/core/route"
 	"goldcreststand.example/core/table"
 )
 
@@ -15,6 +16,9 @@
 // CatalogSeen names all services that have a routing table.
 type CatalogSeen struct{ Services []ident.ServiceName }
 
+// OutcomesSeen is a batch of outcomes that traffic reports.
+type OutcomesSeen struct{ Outcomes []route.Outcome }
+
 // WatchServices asks for watches on the tables and lists of exactly these services.
 type WatchServices struct{ Services []ident.ServiceName }
 
@@ -25,6 +29,7 @@
 	_ Event = TableSeen{}
 	_ Event = ListingSeen{}
 	_ Event = CatalogSeen{}
+	_ Event = OutcomesSeen{}
 	_ Event = tick{}
 )
 
@@ -48,4 +53,6 @@
 	return []Action{WatchServices(e)}
 }
 
+func (OutcomesSeen) apply(*state) []Action { return nil }
+
 func (tick) apply(*state) []Action { return nil }
