--- /dev/null
+++ b/lib/stats/set_test.go
@@ -0,0 +1,45 @@
+package stats_test
+
+import (
+	"encoding/json"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcreststand.example/lib/stats"
+)
+
+// Guards against memory that grows with the names of tenants, which callers choose.
+func TestSetBoundsTenants(t *testing.T) {
+	s := stats.New()
+	for i := range stats.MaxTenants + 10 {
+		s.Observe(stats.Sample{Tenant: strconv.Itoa(i), Class: "3", Service: "inventory", Result: "ok", Latency: time.Millisecond})
+	}
+	s.Drop(2)
+	var got struct {
+		Results  map[string]int64
+		Dropped  int64
+		Tenants  map[string]stats.Summary
+		Services map[string]stats.Summary
+	}
+	require.NoError(t, json.Unmarshal([]byte(s.String()), &got))
+	require.Len(t, got.Tenants, stats.MaxTenants+1)
+	require.EqualValues(t, 10, got.Tenants[stats.Other].Count)
+	require.EqualValues(t, stats.MaxTenants+10, got.Services["inventory"].Count)
+	require.InDelta(t, 1000, got.Services["inventory"].P99, 10)
+	require.EqualValues(t, stats.MaxTenants+10, got.Results["ok"])
+	require.EqualValues(t, 2, got.Dropped)
+}
+
+func BenchmarkObserve(b *testing.B) {
+	s := stats.New()
+	x := stats.Sample{Tenant: "a", Class: "3", Service: "inventory", Result: "ok", Latency: time.Millisecond}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			s.Observe(x)
+		}
+	})
+}
