fakebackend, schema: add faults that are set while it runs

Tests of at-most-once and of capacity need servers that misbehave on demand and count executions. A control address sets faults per server or for all: slow, fail (at once, later, under load, on one route), shed, drain, cold start, silent connections, close without a response, truncated, late and crossed responses, and a load report that lags or is wrong. The tally counts executions, repeated request ids and capacity violations.

The settings gain traffic.buffer and traffic.resend for second tries.

--- a/schema/config/config_gen.go
+++ b/schema/config/config_gen.go
@@ -369,12 +369,19 @@
 	// Address for callers.
 	Address netip.AddrPort `json:"address"`
 
+	// Largest request body in bytes that is kept for a second try.
+	Buffer ident.Bytes `json:"buffer"`
+
 	// Longest time that a graceful shutdown waits for calls in flight.
 	Drain ident.Duration `json:"drain"`
 
 	// Longest deadline that a call may name.
 	Maximum ident.Duration `json:"maximum"`
 
+	// Resends and hedges that the servers of a service get, in per mille of its
+	// calls.
+	Resend ident.Share `json:"resend"`
+
 	// Deadline of a call that names none.
 	Timeout ident.Duration `json:"timeout"`
 }
@@ -388,12 +395,18 @@
 	if _, ok := raw["address"]; raw != nil && !ok {
 		return fmt.Errorf("field address in Traffic: required")
 	}
+	if _, ok := raw["buffer"]; raw != nil && !ok {
+		return fmt.Errorf("field buffer in Traffic: required")
+	}
 	if _, ok := raw["drain"]; raw != nil && !ok {
 		return fmt.Errorf("field drain in Traffic: required")
 	}
 	if _, ok := raw["maximum"]; raw != nil && !ok {
 		return fmt.Errorf("field maximum in Traffic: required")
 	}
+	if _, ok := raw["resend"]; raw != nil && !ok {
+		return fmt.Errorf("field resend in Traffic: required")
+	}
 	if _, ok := raw["timeout"]; raw != nil && !ok {
 		return fmt.Errorf("field timeout in Traffic: required")
 	}
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -108,6 +108,70 @@
 	return nil
 }
 
+// Faults sets how a fake backend server misbehaves; what is left out is off.
+type Faults struct {
+	// Calls in flight above which slow and fail apply.
+	Above *ident.Slots `json:"above,omitempty,omitzero"`
+
+	// Time after which slow and fail begin.
+	After *ident.Duration `json:"after,omitempty,omitzero"`
+
+	// Calls in flight that are reported in place of the true number.
+	Claim *ident.Slots `json:"claim,omitempty,omitzero"`
+
+	// Calls whose request is read and whose connection is then closed, in per mille.
+	Close *ident.Share `json:"close,omitempty,omitzero"`
+
+	// Whether the server starts cold: with one slot, more after completed calls.
+	Cold *bool `json:"cold,omitempty,omitzero"`
+
+	// Calls whose response is sent in place of the next response on the connection,
+	// in per mille.
+	Crossed *ident.Share `json:"crossed,omitempty,omitzero"`
+
+	// Whether the server is draining.
+	Drain *bool `json:"drain,omitempty,omitzero"`
+
+	// Calls that fail at once with 500, in per mille.
+	Fail *ident.Share `json:"fail,omitempty,omitzero"`
+
+	// Age of the reported load.
+	Lag *ident.Duration `json:"lag,omitempty,omitzero"`
+
+	// Calls whose response is sent after the deadline in Request-Timeout, in per
+	// mille.
+	Late *ident.Share `json:"late,omitempty,omitzero"`
+
+	// Route to which slow and fail are limited.
+	Route *ident.RouteName `json:"route,omitempty,omitzero"`
+
+	// Calls that are rejected with the load-shedding signal, in per mille.
+	Shed *ident.Share `json:"shed,omitempty,omitzero"`
+
+	// Whether the connections that are open now go quiet for good; new ones work.
+	Silent *bool `json:"silent,omitempty,omitzero"`
+
+	// Factor on the time that a call takes; 0 counts as 1.
+	Slow *float64 `json:"slow,omitempty,omitzero"`
+
+	// Calls whose response is truncated, in per mille.
+	Truncate *ident.Share `json:"truncate,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Faults) UnmarshalJSON(value []byte) error {
+	type Plain Faults
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if plain.Slow != nil && 0 > *plain.Slow {
+		return fmt.Errorf("field %s: must be >= %v", "slow", 0)
+	}
+	*j = Faults(plain)
+	return nil
+}
+
 // Fetch is the parameter of the method fetch: it asks for objects newer than the
 // given revisions.
 type Fetch struct {
@@ -880,6 +944,78 @@
 	return nil
 }
 
+// Tally counts what one fake backend server, or all of them, did.
+type Tally struct {
+	// Connections that were accepted.
+	Connections int `json:"connections"`
+
+	// Calls that were executed.
+	Executed int `json:"executed"`
+
+	// Connections that were closed because the server held too many.
+	Overflow int `json:"overflow"`
+
+	// Largest number of calls in flight at one server.
+	Peak int `json:"peak"`
+
+	// Executions of a request id beyond its first one, over all servers.
+	Repeated int `json:"repeated"`
+
+	// Calls that began while all slots were in use.
+	Violations int `json:"violations"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Tally) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["connections"]; raw != nil && !ok {
+		return fmt.Errorf("field connections in Tally: required")
+	}
+	if _, ok := raw["executed"]; raw != nil && !ok {
+		return fmt.Errorf("field executed in Tally: required")
+	}
+	if _, ok := raw["overflow"]; raw != nil && !ok {
+		return fmt.Errorf("field overflow in Tally: required")
+	}
+	if _, ok := raw["peak"]; raw != nil && !ok {
+		return fmt.Errorf("field peak in Tally: required")
+	}
+	if _, ok := raw["repeated"]; raw != nil && !ok {
+		return fmt.Errorf("field repeated in Tally: required")
+	}
+	if _, ok := raw["violations"]; raw != nil && !ok {
+		return fmt.Errorf("field violations in Tally: required")
+	}
+	type Plain Tally
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Connections {
+		return fmt.Errorf("field %s: must be >= %v", "connections", 0)
+	}
+	if 0 > plain.Executed {
+		return fmt.Errorf("field %s: must be >= %v", "executed", 0)
+	}
+	if 0 > plain.Overflow {
+		return fmt.Errorf("field %s: must be >= %v", "overflow", 0)
+	}
+	if 0 > plain.Peak {
+		return fmt.Errorf("field %s: must be >= %v", "peak", 0)
+	}
+	if 0 > plain.Repeated {
+		return fmt.Errorf("field %s: must be >= %v", "repeated", 0)
+	}
+	if 0 > plain.Violations {
+		return fmt.Errorf("field %s: must be >= %v", "violations", 0)
+	}
+	*j = Tally(plain)
+	return nil
+}
+
 // View is what one instance reports of itself to operators.
 type View struct {
 	// Failure domain of the instance.
