goldcreststand: carry out calls with retry and pool decisions

The proxy sent each call once on a new connection and could not tell whether a failed call had been executed. Calls now run through the retry and pool cores. Each connection has its own http.Transport, whose dialer hands the connection out once and then fails, so that net/http cannot send a request again by itself. The connection notes whether a byte was handed to it, which makes "not executed" certain. httputil.ReverseProxy copies headers, trailers and bodies and breaks the caller's connection when the response is truncated. A call for a service of other instances takes one extra hop.

A server that sends a second response to one request can cross it with the next one, because net/http looks for stray bytes only when the next request may already use the connection. The first byte of a request therefore waits until net/http waits for input, and a response that came before any byte of the request is discarded.

Responses without a length and without chunks are treated as broken: their end cannot be told from a truncation. Outcomes go to control in batches of at most 256, dropped and counted when its queue is full.

Ruled out: one shared http.Transport, which resends requests with a safe method or an Idempotency-Key on a reused connection; a fake clock for the test of silent connections, which was flaky (1 of 5 runs) because timers of the call before were counted; it now runs in a synctest bubble over net.Pipe.

Tested with go test -race -count=20 over real loopback connections.

--- a/core/retry/call.go
+++ b/core/retry/call.go
@@ -88,7 +88,10 @@
 		return false
 	}
 	t.ended = true
-	c.last = cause
+	// That no other server is left says less than why the earlier try ended.
+	if cause != CauseNoServer || c.last == CauseNone {
+		c.last = cause
+	}
 	c.spent = c.spent || spent
 	if cause == CauseBroken {
 		c.executed = true
--- a/core/route/snapshot.go
+++ b/core/route/snapshot.go
@@ -38,7 +38,9 @@
 	Weight  ident.Weight
 	// Share is the largest number of calls in flight that this instance may have at the server.
 	Share ident.Slots
-	Load  *Load
+	// Connections is the largest number of connections that this instance may have to the server.
+	Connections int
+	Load        *Load
 }
 
 // Rows returns the effective weight of a server under the table: the product of the weights of its
--- a/goldcreststand/internal/cmd/servecmd.go
+++ b/goldcreststand/internal/cmd/servecmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"flag"
 	"net/http"
 	"time"
@@ -17,6 +18,7 @@
 	"goldcreststand.example/lib/cli"
 	"goldcreststand.example/lib/logs"
 	"goldcreststand.example/lib/plat"
+	"goldcreststand.example/lib/stats"
 	"goldcreststand.example/schema/config"
 )
 
@@ -47,13 +49,18 @@
 	clock := clockwork.NewRealClock()
 	w := watch.New(plat.New(s.Platform.URL, s.Platform.Timeout.Std()), s.Platform.Wait.Std(), clock, logs.Part(log, "watch"))
 	loop := ctrl.New(ctrl.Self{ID: s.Name, Domain: s.Domain, Traffic: s.Traffic.Address, Count: s.Place.Count}, clock, boot.Clock{}, &executor{watcher: w})
+	metrics := stats.New()
+	expvar.Publish("calls", metrics)
 	control, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go loop.Run(control)
 	go w.Run(control, loop)
 	traffic := proxy.New(proxy.Options{
 		Timeout: s.Traffic.Timeout.Std(), Maximum: s.Traffic.Maximum.Std(), Lifetime: s.Place.Lifetime.Std(),
-	}, loop, route.LeastLoaded{}, boot.Clock{})
+		Buffer: s.Traffic.Buffer, Resend: s.Traffic.Resend,
+	}, loop, route.LeastLoaded{}, boot.Clock{}, proxy.WithClock(clock), proxy.WithMetrics(metrics),
+		proxy.WithLog(logs.Part(log, "proxy")), proxy.WithSink(&outcomeSink{loop: loop}))
+	go traffic.Run(control)
 	servers := []*listener{
 		newListener("traffic", s.Traffic.Address.String(), traffic),
 		newListener("admin", s.Admin.Address.String(), admin.New(s.Name, s.Domain, loop)),
@@ -62,6 +69,7 @@
 	stop()
 	<-loop.Done()
 	<-w.Done()
+	<-traffic.Done()
 	return err
 }
 
@@ -79,6 +87,18 @@
 	}
 }
 
+// outcomeSink hands the outcomes of traffic to control.
+type outcomeSink struct {
+	loop *ctrl.Loop
+}
+
+var _ proxy.Sink = (*outcomeSink)(nil)
+
+// Offer posts the batch when control has room for it.
+func (s *outcomeSink) Offer(batch []route.Outcome) bool {
+	return s.loop.TryPost(ctrl.OutcomesSeen{Outcomes: batch})
+}
+
 // newListener returns a listener that has not started.
 func newListener(name, address string, h http.Handler) *listener {
 	return &listener{name: name, srv: &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout}}
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -99,5 +99,7 @@
 	return &route.Server{
 		ID: b.ID, Address: b.Address, Domain: b.Domain, Version: b.Version, Weight: w,
 		Share: max(1, b.Slots/ident.Slots(serving)), Load: l,
+		// One part more than there are instances leaves room for those that served until lately.
+		Connections: max(2, b.Connections/(serving+1)),
 	}
 }
--- a/goldcreststand/internal/proxy/call.go
+++ b/goldcreststand/internal/proxy/call.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -18,9 +19,20 @@
 	headerTimeout     = "Request-Timeout"
 	headerIdempotent  = "Idempotent"
 	headerTenant      = "Tenant"
+	headerPriority    = "Priority"
 	headerProxyStatus = "Proxy-Status"
 )
 
+// Headers between instances, and of the backend server's contract.
+const (
+	headerHop      = "Forwarded-Hop"
+	headerExecuted = "Executed"
+	headerLoad     = "Load"
+)
+
+// defaultClass is the priority class of a call that names none (RFC 9218, section 4.1).
+const defaultClass = 3
+
 // ErrCall is the class of invalid calls.
 var ErrCall = errs.Class("invalid call")
 
@@ -28,13 +40,20 @@
 type call struct {
 	service    ident.ServiceName
 	tenant     ident.TenantName
+	route      ident.RouteName
+	class      int
 	timeout    time.Duration
 	idempotent bool
 }
 
 // parseCall reads the headers of a caller's request.
 func parseCall(r *http.Request, timeout, maximum time.Duration) (call, error) {
-	c := call{timeout: timeout, idempotent: safeMethod(r.Method) || r.Header.Get(headerIdempotent) == "?1"}
+	c := call{
+		timeout:    timeout,
+		idempotent: safeMethod(r.Method) || r.Header.Get(headerIdempotent) == "?1",
+		class:      parseClass(r.Header.Get(headerPriority)),
+		route:      parseRoute(r.URL.Path),
+	}
 	host, _, err := net.SplitHostPort(r.Host)
 	if err != nil {
 		host = r.Host
@@ -57,6 +76,28 @@
 	return c, nil
 }
 
+// parseClass reads the urgency of a Priority header. A header that cannot be read is ignored, as RFC
+// 9218 asks.
+func parseClass(v string) int {
+	for _, part := range strings.Split(v, ",") {
+		u, ok := strings.CutPrefix(strings.TrimSpace(part), "u=")
+		if ok && len(u) == 1 && u[0] >= '0' && u[0] <= '7' {
+			return int(u[0] - '0')
+		}
+	}
+	return defaultClass
+}
+
+// parseRoute returns the first segment of the path, or no route when it is not a valid name.
+func parseRoute(path string) ident.RouteName {
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	var n ident.RouteName
+	if err := n.UnmarshalText([]byte(first)); err != nil {
+		return ""
+	}
+	return n
+}
+
 // safeMethod reports whether the method is safe by RFC 9110, section 9.2.1.
 func safeMethod(m string) bool {
 	switch m {
--- /dev/null
+++ b/goldcreststand/internal/proxy/call_test.go
@@ -0,0 +1,185 @@
+package proxy_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcreststand.example/core/route"
+)
+
+const (
+	rejected = "executed=no"
+	unknown  = "executed=unknown"
+)
+
+// Guards against a second execution, a false "not executed", and a truncated response that looks
+// complete, for each way in which the first of two servers can fail.
+func TestFirstServerFails(t *testing.T) {
+	tests := []struct {
+		name       string
+		resp       string
+		idempotent bool
+		status     int
+		proxy      string
+		broken     bool
+		first      int
+		second     int
+	}{
+		{name: "ok", resp: respOK, status: 200, first: 1},
+		{name: "1xx is not the response", resp: resp1xx, status: 200, first: 1},
+		{name: "read and closed", resp: respClose, status: 502, proxy: unknown, first: 1},
+		{name: "read and closed, idempotent", resp: respClose, idempotent: true, status: 200, first: 1, second: 1},
+		{name: "shed", resp: respShed, status: 200, second: 1},
+		{name: "failed", resp: respFailed, status: 500, first: 1},
+		{name: "failed, idempotent", resp: respFailed, idempotent: true, status: 200, first: 1, second: 1},
+		{name: "truncated length", resp: respShort, broken: true, first: 1},
+		{name: "truncated chunks", resp: respChunk, broken: true, first: 1},
+		{name: "no length and no chunks", resp: respUnframed, status: 502, proxy: unknown, first: 1},
+		{name: "forged status", resp: respForged, status: 200, first: 1},
+	}
+	bodies := map[string]string{"empty": "", "buffered": "ab", "streamed": strings.Repeat("x", 2<<10)}
+	for _, tt := range tests {
+		for name, body := range bodies {
+			// TestStreamedBodyIsSentOnce covers these.
+			if name == "streamed" && tt.second > 0 {
+				continue
+			}
+			t.Run(tt.name+", "+name, func(t *testing.T) {
+				first, second := newBackend(t, always(tt.resp)), newBackend(t, always(respOK))
+				s := instance(t, localTo(first, second))
+				headers := []string{"Idempotency-Key", "k1", "X-Idempotency-Key", "k1"}
+				if tt.idempotent {
+					headers = append(headers, "Idempotent", "?1")
+				}
+				got := request(s, http.MethodPost, "/item/1", strings.NewReader(body), headers...)
+				if !tt.broken {
+					require.Equal(t, tt.status, got.status, "%v", got)
+				}
+				require.Contains(t, got.proxy, tt.proxy)
+				require.True(t, tt.proxy != "" || got.proxy == "")
+				require.Equal(t, tt.broken, got.err != nil, "%v", got.err)
+				require.Equal(t, tt.first, first.count("/item/1"))
+				require.Equal(t, tt.second, second.count("/item/1"))
+			})
+		}
+	}
+}
+
+// Guards against net/http, which sends a request again by itself when a reused connection closes and
+// the request has no body and an Idempotency-Key, or a safe method.
+func TestReusedConnectionIsNotResent(t *testing.T) {
+	first := newBackend(t, func(path string) string {
+		if path == "/warm" {
+			return respOK
+		}
+		return respClose
+	})
+	s := instance(t, localTo(first))
+	require.Equal(t, 200, request(s, http.MethodPost, "/warm", nil).status)
+	got := request(s, http.MethodPost, "/pay", nil, "Idempotency-Key", "k1")
+	require.Equal(t, 502, got.status)
+	require.Contains(t, got.proxy, unknown)
+	require.Equal(t, 1, first.count("/pay"))
+	require.Equal(t, 1, first.connections())
+}
+
+// Guards against a body that is sent in part a second time.
+func TestStreamedBodyIsSentOnce(t *testing.T) {
+	for _, resp := range []string{respShed, respClose} {
+		first, second := newBackend(t, always(resp)), newBackend(t, always(respOK))
+		s := instance(t, localTo(first, second))
+		got := request(s, http.MethodPut, "/item/1", io.MultiReader(strings.NewReader(strings.Repeat("x", 2<<10))), "Idempotent", "?1")
+		require.Contains(t, []int{502, 503}, got.status)
+		require.Equal(t, resp == respShed, strings.Contains(got.proxy, rejected))
+		require.Zero(t, second.count("/item/1"))
+	}
+}
+
+// Guards against a rejection without the headers that tell a caller that it may try again.
+func TestRejected(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	refusing := server("s0", address(l))
+	require.NoError(t, l.Close())
+	shedding := newBackend(t, always(respShed))
+	full := server("s1", address(shedding.l))
+	full.Share = 0
+	tests := []struct {
+		name string
+		svc  *route.Service
+		want string
+	}{
+		{name: "refused", svc: local(refusing), want: "connection_refused"},
+		{name: "all shed", svc: localTo(shedding, shedding, shedding), want: "destination_unavailable"},
+		{name: "no slot", svc: local(full), want: "connection_limit_reached"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := request(instance(t, tt.svc), http.MethodPost, "/item/1", nil)
+			require.Equal(t, http.StatusServiceUnavailable, got.status)
+			require.Equal(t, "goldcreststand; error="+tt.want+"; "+rejected, got.proxy)
+			require.Equal(t, "1", got.header.Get("Retry-After"))
+		})
+	}
+}
+
+// Guards against a refused connection that ends a call although another server would accept it.
+func TestRefusedMovesOn(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	b := newBackend(t, always(respOK))
+	s := instance(t, local(server("s0", address(l)), server("s1", address(b.l))))
+	require.Equal(t, 200, request(s, http.MethodPost, "/item/1", nil).status)
+	require.Equal(t, 1, b.count("/item/1"))
+}
+
+// Guards against a late response of a call that ran into its deadline reaching the next call.
+func TestLateResponseIsNotCrossed(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(path string) string {
+		if path == "/late" {
+			<-release
+		}
+		return respOK
+	})
+	s := instance(t, localTo(b))
+	got := request(s, http.MethodPost, "/late", nil, "Request-Timeout", "20")
+	require.Equal(t, http.StatusGatewayTimeout, got.status)
+	require.Equal(t, "goldcreststand; error=http_response_timeout; "+unknown, got.proxy)
+	close(release)
+	for range 3 {
+		require.Equal(t, "/own", request(s, http.MethodPost, "/own", nil).body)
+	}
+	require.Equal(t, 2, b.connections(), "the connection of a canceled call was reused")
+}
+
+// Guards against a second response to one request that is taken for the response to the next one.
+func TestStrayResponseIsNotUsed(t *testing.T) {
+	b := newBackend(t, func(path string) string {
+		if path == "/twice" {
+			return respTwice
+		}
+		return respOK
+	})
+	s := instance(t, localTo(b))
+	for range 50 {
+		require.Equal(t, "/twice", request(s, http.MethodPost, "/twice", nil).body)
+		require.NotEqual(t, "stray", request(s, http.MethodPost, "/own", nil).body)
+	}
+}
+
+// Guards against new work on the connection of a draining server.
+func TestDrainingConnectionIsClosed(t *testing.T) {
+	b := newBackend(t, always(respDrain))
+	s := instance(t, localTo(b))
+	for range 2 {
+		require.Equal(t, 200, request(s, http.MethodPost, "/item/1", nil).status)
+	}
+	require.Equal(t, 2, b.connections())
+}
--- a/goldcreststand/internal/proxy/handler.go
+++ b/goldcreststand/internal/proxy/handler.go
@@ -2,22 +2,28 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/http/httputil"
 	"strconv"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/labstack/echo/v4"
 
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/route"
+	"goldcreststand.example/lib/stats"
 	"goldcreststand.example/schema/wire"
 )
 
 // LookupPath is the path at which callers ask which instances serve a service (RFC 8615).
 const LookupPath = "/.well-known/goldcreststand/entries"
 
+// reapInterval is the time between two searches for idle connections.
+const reapInterval = time.Second
+
 // Snapshots gives the newest snapshot.
 type Snapshots interface {
 	Load() *route.Snapshot
@@ -41,6 +47,10 @@
 	Maximum time.Duration
 	// Lifetime is the time for which a caller may keep a lookup response.
 	Lifetime time.Duration
+	// Buffer is the largest request body that is kept for a second try.
+	Buffer ident.Bytes
+	// Resend is the share of the calls of a service that may be sent again.
+	Resend ident.Share
 }
 
 // Handler serves callers.
@@ -49,23 +59,76 @@
 	snapshots Snapshots
 	picker    Picker
 	elapsed   ElapsedClock
-	transport http.RoundTripper
+	clock     clockwork.Clock
+	log       Log
+	metrics   *stats.Set
+	dialer    Dialer
+	sink      Sink
+
+	conns    *connSets
+	services *services
+	reporter *reporter
+	proxy    *httputil.ReverseProxy
+	echo     *echo.Echo
+	done     chan struct{}
 }
 
-// New returns the HTTP interface for callers.
-func New(opts Options, s Snapshots, p Picker, elapsed ElapsedClock) http.Handler {
+var _ http.Handler = (*Handler)(nil)
+
+// New returns the HTTP interface for callers. Run must run while it serves.
+func New(opts Options, s Snapshots, p Picker, elapsed ElapsedClock, options ...Option) *Handler {
 	h := &Handler{
 		opts:      opts,
 		snapshots: s,
 		picker:    p,
 		elapsed:   elapsed,
-		// A transport that reuses connections may resend a request by itself.
-		transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		clock:     clockwork.NewRealClock(),
+		log:       noLog{},
+		metrics:   stats.New(),
+		dialer:    &net.Dialer{},
+		sink:      noSink{},
+		services:  &services{resend: opts.Resend},
+		done:      make(chan struct{}),
+	}
+	for _, o := range options {
+		o(h)
+	}
+	h.conns = newConnSets(h.dialer, h.clock)
+	h.reporter = newReporter(h.sink, h.metrics)
+	h.proxy = newReverseProxy(h.log)
+	h.echo = echo.New()
+	h.echo.GET(LookupPath, h.lookup)
+	h.echo.Any("/*", h.forward)
+	return h
+}
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.echo.ServeHTTP(w, r) }
+
+// Done is closed when Run has returned.
+func (h *Handler) Done() <-chan struct{} { return h.done }
+
+// Run closes idle connections and hands outcomes to control until the context ends.
+func (h *Handler) Run(ctx context.Context) {
+	defer close(h.done)
+	defer h.conns.close()
+	defer h.reporter.flush()
+	ticker := h.clock.NewTicker(reapInterval)
+	defer ticker.Stop()
+	var due <-chan time.Time
+	for {
+		select {
+		case <-h.reporter.kick:
+			due = h.clock.After(batchDelay)
+		case <-due:
+			due = nil
+			h.reporter.flush()
+		case <-ticker.Chan():
+			h.conns.reap()
+		case <-ctx.Done():
+			return
+		}
 	}
-	e := echo.New()
-	e.GET(LookupPath, h.lookup)
-	e.Any("/*", h.forward)
-	return e
 }
 
 // lookup answers which instances serve a service.
@@ -82,62 +145,3 @@
 	c.Response().Header().Set("Cache-Control", "max-age="+strconv.Itoa(seconds))
 	return c.JSON(http.StatusOK, wire.Entries{Service: name, Addresses: s.Entries, Lifetime: seconds})
 }
-
-// forward sends the call to a backend server and copies the response.
-func (h *Handler) forward(c echo.Context) error {
-	req := c.Request()
-	call, err := parseCall(req, h.opts.Timeout, h.opts.Maximum)
-	if err != nil {
-		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
-	}
-	snap := h.snapshots.Load()
-	if h.elapsed.Elapsed() > snap.ValidUntil {
-		return reject(c, "proxy_internal_error")
-	}
-	svc, ok := snap.Services[call.service]
-	if !ok {
-		return echo.NewHTTPError(http.StatusNotFound, "unknown service")
-	}
-	srv := h.picker.Pick(svc.Servers, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	if srv == nil {
-		return reject(c, "connection_limit_reached")
-	}
-	defer srv.Load.Release()
-	ctx, cancel := context.WithTimeout(req.Context(), call.timeout)
-	defer cancel()
-	out := req.Clone(ctx)
-	out.URL.Scheme, out.URL.Host, out.RequestURI = "http", srv.Address.String(), ""
-	out.Header.Set(headerTimeout, strconv.FormatInt(call.timeout.Milliseconds(), 10))
-	resp, err := h.transport.RoundTrip(out)
-	if err != nil {
-		return unknown(c)
-	}
-	return copyResponse(c, resp)
-}
-
-// copyResponse copies the server's response. When the body ends early, the caller's connection is
-// broken, so that a truncated response is never taken for a complete one.
-func copyResponse(c echo.Context, resp *http.Response) error {
-	defer func() { _ = resp.Body.Close() }()
-	for k, vs := range resp.Header {
-		c.Response().Header()[k] = vs
-	}
-	c.Response().WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(c.Response(), resp.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	return nil
-}
-
-// reject answers that the call was rejected and not executed.
-func reject(c echo.Context, cause string) error {
-	c.Response().Header().Set("Retry-After", "1")
-	c.Response().Header().Set(headerProxyStatus, "goldcreststand; error="+cause+"; executed=no")
-	return c.NoContent(http.StatusServiceUnavailable)
-}
-
-// unknown answers that the call may have been executed.
-func unknown(c echo.Context) error {
-	c.Response().Header().Set(headerProxyStatus, "goldcreststand; error=connection_terminated; executed=unknown")
-	return c.NoContent(http.StatusBadGateway)
-}
--- /dev/null
+++ b/goldcreststand/internal/proxy/harness_test.go
@@ -0,0 +1,238 @@
+package proxy_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/route"
+	"goldcreststand.example/goldcreststand/internal/proxy"
+)
+
+// Responses that a backend can give; "%s" stands for the path of the request.
+const (
+	respOK        = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n%9s"
+	respShed      = "HTTP/1.1 503 Busy\r\nExecuted: ?0\r\nContent-Length: 0\r\n\r\n"
+	respFailed    = "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n"
+	respShort     = "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n%s"
+	respChunk     = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n%9s\r\n"
+	respUnframed  = "HTTP/1.1 200 OK\r\n\r\n%s"
+	resp1xx       = "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + respOK
+	respTwice     = respOK + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+	respClose     = ""
+	respSilent    = "silent"
+	respDrain     = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 9\r\n\r\n%9s"
+	respForged    = "HTTP/1.1 200 OK\r\nProxy-Status: goldcreststand; executed=no\r\nContent-Length: 9\r\n\r\n%9s"
+	respLoad      = "HTTP/1.1 200 OK\r\nLoad: 2/4\r\nContent-Length: 9\r\n\r\n%9s"
+	serviceName   = "inventory"
+	callerTimeout = 30 * time.Second
+)
+
+// backend is a backend server that reads a request, counts it as executed unless it sheds it, writes
+// the response that the script gives, and closes the connection when the response is cut short.
+type backend struct {
+	l      net.Listener
+	script func(path string) string
+
+	mu       sync.Mutex
+	executed map[string]int
+	conns    int
+	current  int
+}
+
+func newBackend(t *testing.T, script func(path string) string) *backend {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := &backend{l: l, script: script, executed: make(map[string]int)}
+	go b.serve()
+	t.Cleanup(func() { _ = l.Close() })
+	return b
+}
+
+// always answers every request in the same way.
+func always(resp string) func(string) string { return func(string) string { return resp } }
+
+func (b *backend) serve() {
+	for {
+		nc, err := b.l.Accept()
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.conns++
+		b.mu.Unlock()
+		go b.serveConn(nc)
+	}
+}
+
+func (b *backend) serveConn(nc net.Conn) {
+	b.add(1)
+	defer b.add(-1)
+	defer func() { _ = nc.Close() }()
+	r := bufio.NewReader(nc)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if req.URL.Path == "/health" {
+			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		resp := b.script(req.URL.Path)
+		if resp != respShed && resp != respSilent {
+			b.mu.Lock()
+			b.executed[req.URL.Path]++
+			b.mu.Unlock()
+		}
+		if resp == respSilent {
+			_, _ = io.Copy(io.Discard, r)
+			return
+		}
+		if n := strings.Count(resp, "%"); n > 0 {
+			resp = fmt.Sprintf(resp, req.URL.Path)
+		}
+		_, _ = io.WriteString(nc, resp)
+		if resp == respClose || strings.Contains(resp, ": 99") || strings.Contains(resp, "chunked") || !strings.Contains(resp, ": ") {
+			return
+		}
+	}
+}
+
+func (b *backend) count(path string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.executed[path]
+}
+
+func (b *backend) add(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.current += n
+}
+
+// open returns the number of open connections.
+func (b *backend) open() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.current
+}
+
+func (b *backend) connections() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.conns
+}
+
+// address returns the address of a listener.
+func address(l net.Listener) netip.AddrPort { return netip.MustParseAddrPort(l.Addr().String()) }
+
+// fixed is a snapshot that never changes.
+type fixed struct{ snap *route.Snapshot }
+
+// Load returns the snapshot.
+func (f fixed) Load() *route.Snapshot { return f.snap }
+
+// Elapsed reads a clock that stands still.
+func (fixed) Elapsed() time.Duration { return 0 }
+
+// inOrder picks the first server with a free slot, so that a test knows the order of the tries.
+type inOrder struct{}
+
+func server(id string, a netip.AddrPort) *route.Server {
+	return &route.Server{ID: ident.ServerID(id), Address: a, Version: "v1", Weight: 100, Share: 64, Connections: 64, Load: new(route.Load)}
+}
+
+func local(servers ...*route.Server) *route.Service {
+	return &route.Service{Name: serviceName, Local: true, Servers: servers}
+}
+
+func localTo(backends ...*backend) *route.Service {
+	var servers []*route.Server
+	for i, b := range backends {
+		servers = append(servers, server(fmt.Sprintf("s%d", i), address(b.l)))
+	}
+	return local(servers...)
+}
+
+// handler returns a running handler and the function that stops it.
+func handler(svc *route.Service, opts ...proxy.Option) (h *proxy.Handler, stop func()) {
+	f := fixed{&route.Snapshot{ValidUntil: time.Hour, Services: map[ident.ServiceName]*route.Service{serviceName: svc}}}
+	h = proxy.New(proxy.Options{Timeout: 10 * time.Second, Maximum: time.Minute, Lifetime: time.Second, Buffer: 1 << 10, Resend: 100},
+		f, inOrder{}, f, opts...)
+	ctx, cancel := context.WithCancel(context.Background())
+	go h.Run(ctx)
+	return h, func() {
+		cancel()
+		<-h.Done()
+	}
+}
+
+// instance serves callers on a real listener.
+func instance(t testing.TB, svc *route.Service, opts ...proxy.Option) *httptest.Server {
+	h, stop := handler(svc, opts...)
+	s := httptest.NewServer(h)
+	// A client that reuses connections may send a call again by itself.
+	s.Client().Transport.(*http.Transport).DisableKeepAlives = true
+	t.Cleanup(func() {
+		s.Close()
+		stop()
+	})
+	return s
+}
+
+// result is what a caller sees.
+type result struct {
+	status int
+	proxy  string
+	body   string
+	header http.Header
+	err    error
+}
+
+// request makes a call and reads the whole response. Headers are given as pairs.
+func request(s *httptest.Server, method, path string, body io.Reader, headers ...string) result {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, s.URL+path, body)
+	if err != nil {
+		return result{err: err}
+	}
+	req.Host = serviceName
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := s.Client().Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return result{status: resp.StatusCode, proxy: resp.Header.Get("Proxy-Status"), body: strings.TrimSpace(string(b)), header: resp.Header, err: err}
+}
+
+// Pick takes a slot at the first server that has one.
+func (inOrder) Pick(servers []*route.Server, _ *rand.Rand) *route.Server {
+	for _, s := range servers {
+		if s.Load.Acquire(s.Share) {
+			return s
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/goldcreststand/internal/proxy/idle_test.go
@@ -0,0 +1,121 @@
+package proxy_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"goldcreststand.example/goldcreststand/internal/proxy"
+)
+
+// goQuiet returns a script that answers only the first request on the first connection, as a connection
+// does that something between its ends lost track of.
+func goQuiet(path string) string {
+	if path == "/warm" {
+		return respOK
+	}
+	return respSilent
+}
+
+// Guards against a call that is not idempotent on a connection that may be silently dead.
+func TestIdleConnectionIsNotUsedForNonIdempotent(t *testing.T) {
+	tests := []struct {
+		name  string
+		idle  time.Duration
+		conns int
+	}{
+		{name: "proved alive", idle: 900 * time.Millisecond, conns: 1},
+		{name: "idle for too long", idle: 1100 * time.Millisecond, conns: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			b := newBackend(t, always(respOK))
+			s := instance(t, localTo(b), proxy.WithClock(clock))
+			require.Equal(t, 200, request(s, http.MethodPost, "/warm", nil).status)
+			clock.Advance(tt.idle)
+			require.Equal(t, 200, request(s, http.MethodPost, "/item/1", nil).status)
+			require.Equal(t, tt.conns, b.connections())
+		})
+	}
+}
+
+// Guards against an idempotent call that waits for its deadline on a dead connection, and against a
+// dead connection that is used again.
+func TestIdempotentCallLeavesSilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := &backend{script: goQuiet, executed: make(map[string]int)}, &backend{script: always(respOK), executed: make(map[string]int)}
+		a, b := server("s0", netip.MustParseAddrPort("192.0.2.1:1")), server("s1", netip.MustParseAddrPort("192.0.2.2:1"))
+		h, stop := handler(local(a, b), proxy.WithDialer(pipes{a.Address.String(): first, b.Address.String(): second}))
+		defer stop()
+		get := func(path string) *httptest.ResponseRecorder {
+			req := httptest.NewRequest(http.MethodGet, path, http.NoBody)
+			req.Host = serviceName
+			rec := httptest.NewRecorder()
+			h.ServeHTTP(rec, req)
+			return rec
+		}
+		require.Equal(t, 200, get("/warm").Code)
+		time.Sleep(2 * time.Second)
+		start := time.Now()
+		require.Equal(t, 200, get("/item/1").Code)
+		require.Less(t, time.Since(start), 200*time.Millisecond)
+		require.Equal(t, 1, second.count("/item/1"))
+		synctest.Wait()
+		require.Zero(t, first.open(), "the silent connection is still open")
+	})
+}
+
+// Guards against a call whose deadline passes before a connection is made and that is reported as
+// possibly executed, or that is executed after it was rejected.
+func TestDeadlineBeforeConnectionIsRejected(t *testing.T) {
+	dialing := make(chan struct{})
+	b := newBackend(t, always(respOK))
+	s := instance(t, localTo(b), proxy.WithDialer(dialFunc(func(ctx context.Context) { close(dialing); <-ctx.Done() })))
+	got := request(s, http.MethodPost, "/item/1", nil, "Request-Timeout", "20")
+	<-dialing
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, "goldcreststand; error=connection_timeout; "+rejected, got.proxy)
+	require.Zero(t, b.connections())
+}
+
+// Guards against a panic in a try that ends the process or the call without a response.
+func TestPanicEndsOneTry(t *testing.T) {
+	b := newBackend(t, always(respOK))
+	s := instance(t, localTo(b), proxy.WithDialer(dialFunc(func(context.Context) { panic("dialer") })))
+	require.Contains(t, request(s, http.MethodPost, "/item/1", nil).proxy, rejected)
+}
+
+// pipes is a dialer that connects to backends without a network.
+type pipes map[string]*backend
+
+// DialContext connects to the backend of the address.
+func (p pipes) DialContext(_ context.Context, _, address string) (net.Conn, error) {
+	ours, theirs := net.Pipe()
+	go p[address].serveConn(theirs)
+	return ours, nil
+}
+
+// wait returns a context for the time that a test waits for another goroutine.
+func wait(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// dialFunc is a dialer that never makes a connection.
+type dialFunc func(ctx context.Context)
+
+// DialContext runs the function.
+func (f dialFunc) DialContext(ctx context.Context, _, _ string) (net.Conn, error) {
+	f(ctx)
+	return nil, net.ErrClosed
+}
