--- a/goldcreststand/internal/proxy/call_test.go
+++ b/goldcreststand/internal/proxy/call_test.go
@@ -1,12 +1,15 @@
 package proxy_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"goldcreststand.example/core/route"
@@ -159,19 +162,24 @@
 	require.Equal(t, 2, b.connections(), "the connection of a canceled call was reused")
 }
 
-// Guards against a second response to one request that is taken for the response to the next one.
+// Guards against a second response to one request that is taken for the response to the next one, which
+// waits for the connection already.
 func TestStrayResponseIsNotUsed(t *testing.T) {
-	b := newBackend(t, func(path string) string {
-		if path == "/twice" {
-			return respTwice
-		}
-		return respOK
-	})
-	s := instance(t, localTo(b))
-	for range 50 {
-		require.Equal(t, "/twice", request(s, http.MethodPost, "/twice", nil).body)
-		require.NotEqual(t, "stray", request(s, http.MethodPost, "/own", nil).body)
+	b := newBackend(t, always(respTwice))
+	svc := localTo(b)
+	svc.Servers[0].Connections = 1
+	s := instance(t, svc)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for n := range 40 {
+				path := fmt.Sprintf("/%d/%d", i, n)
+				assert.Equal(t, path, request(s, http.MethodPost, path, nil).body)
+				assert.Equal(t, 1, b.count(path))
+			}
+		})
 	}
+	wg.Wait()
 }
 
 // Guards against new work on the connection of a draining server.
