--- a/goldcreststand/internal/cmd/servecmd.go
+++ b/goldcreststand/internal/cmd/servecmd.go
@@ -5,6 +5,8 @@
 	"expvar"
 	"flag"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -25,6 +27,11 @@
 // headerTimeout bounds the time in which a request's headers must arrive.
 const headerTimeout = 10 * time.Second
 
+// gcPercent lets the heap grow to five times its live part between collections. The live part is a few
+// megabytes, so that the default of 100 collects many times per second, which shows in the 99th
+// percentile of the latency (BenchmarkCall).
+const gcPercent = 400
+
 func newServeCmd(cfg *Config) *cli.Command {
 	var file string
 	return &cli.Command{
@@ -46,6 +53,9 @@
 	if err != nil {
 		return err
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	clock := clockwork.NewRealClock()
 	w := watch.New(plat.New(s.Platform.URL, s.Platform.Timeout.Std()), s.Platform.Wait.Std(), clock, logs.Part(log, "watch"))
 	loop := ctrl.New(ctrl.Self{ID: s.Name, Domain: s.Domain, Traffic: s.Traffic.Address, Count: s.Place.Count}, clock, boot.Clock{}, &executor{watcher: w})
