core/dist: decide who watches, gossips and fetches what

Cause: every instance watched every object, so platform calls grew with the fleet, and nothing reached an instance while the platform was down. Change: a core with typed events and actions. The first two instances in placement order watch a service's table, server list and rollout status; the others learn by direct notices, gossip of held revisions and a comparison of digests. Versions join by revision. An instance that does not reach the platform says so in a revision of its own and the next in order takes over. Ruled out: waiting for gossip alone (time grows with the fleet); short waits on all watches to detect a silent platform (six times the calls; one short wait per instance suffices); a minimum number of watchers without a bound on depth (calls during an outage would grow with the fleet). Found by the property test and fixed: a substitute stepped down after a partition healed although the first watchers did not reach the platform; an instance without watches never noticed that it reached the platform again; a dropped object could be replaced by an older one.

--- /dev/null
+++ b/core/dist/digest.go
@@ -0,0 +1,33 @@
+package dist
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"goldcreststand.example/core/ident"
+)
+
+// Digest is a hash over known revisions. Equal digests stand for equal knowledge.
+type Digest uint64
+
+// ParseDigest reads the text form of a digest.
+func ParseDigest(s string) (Digest, error) {
+	v, err := strconv.ParseUint(s, 16, 64)
+	if err != nil {
+		return 0, Error.New("digest %q is not hexadecimal", s)
+	}
+	return Digest(v), nil
+}
+
+// String returns the text form of the digest.
+func (d Digest) String() string { return strconv.FormatUint(uint64(d), 16) }
+
+// hash returns the part of an entry in a digest, and the digest's bucket. The digest is the
+// exclusive or of the parts of all entries, so that a change updates it in constant time.
+func hash(k Key, r ident.Revision) (Digest, int) {
+	name := xxhash.Sum64String(k.String())
+	d := xxhash.NewWithSeed(name)
+	_, _ = d.WriteString(strconv.FormatUint(uint64(r), 16))
+	return Digest(d.Sum64()), int(name % Buckets)
+}
--- /dev/null
+++ b/core/dist/dist_test.go
@@ -0,0 +1,203 @@
+package dist_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"goldcreststand.example/core/dist"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/table"
+)
+
+// Guards against an accepted edit that is not in force on all serving instances within 8 s, and against
+// instances that go back to an older revision or put a version in force that was never accepted.
+func TestEditsReachServingInstances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		services := rapid.IntRange(1, 4).Draw(t, "services")
+		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 12).Draw(t, "instances"), services)
+		s.advance(simTarget)
+		pick := func(t *rapid.T) *node { return rapid.SampledFrom(s.nodes).Draw(t, "node") }
+		t.Repeat(map[string]func(*rapid.T){
+			"crash": func(t *rapid.T) {
+				if n := pick(t); n.running {
+					s.stop(n)
+				}
+			},
+			"start": func(t *rapid.T) {
+				if n := pick(t); !n.running {
+					s.start(n)
+				}
+			},
+			"pause": func(t *rapid.T) {
+				if n := pick(t); s.alive(n) {
+					n.paused, n.failed = true, s.now
+				}
+			},
+			"resume": func(t *rapid.T) { pick(t).paused = false },
+			"platform": func(t *rapid.T) {
+				s.up = rapid.SampledFrom([]mode{pathUp, pathUp, pathRefuses, pathSilent}).Draw(t, "mode")
+			},
+			"reach": func(t *rapid.T) {
+				pick(t).reach = rapid.SampledFrom([]mode{pathUp, pathRefuses, pathSilent}).Draw(t, "mode")
+			},
+			"region": func(t *rapid.T) {
+				m := rapid.SampledFrom([]mode{pathUp, pathRefuses, pathSilent}).Draw(t, "mode")
+				for i, n := range s.nodes {
+					if i%4 < 2 {
+						n.reach = m
+					}
+				}
+			},
+			"partition": func(t *rapid.T) {
+				parts := rapid.IntRange(1, 2).Draw(t, "parts")
+				for i, n := range s.nodes {
+					n.group = i % 4 % parts
+				}
+			},
+			"replica": func(t *rapid.T) { s.lag = time.Duration(rapid.IntRange(0, 1500).Draw(t, "lag")) * time.Millisecond },
+			"loss":    func(t *rapid.T) { s.loss = float64(rapid.IntRange(0, 20).Draw(t, "loss")) / 100 },
+			"wait":    func(t *rapid.T) { s.advance(time.Duration(rapid.IntRange(1, 40000).Draw(t, "ms")) * time.Millisecond) },
+			"edit": func(t *rapid.T) {
+				n := service(rapid.IntRange(0, services-1).Draw(t, "service"))
+				// The platform accepts an edit only while it is up.
+				s.up = pathUp
+				r := s.edit(n)
+				for range rapid.IntRange(0, 2).Draw(t, "more") {
+					s.advance(time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * time.Millisecond)
+					r = s.edit(n)
+				}
+				s.advance(simTarget)
+				require.Empty(t, s.behind(dist.TableKey(n), r))
+			},
+			"": func(t *rapid.T) { require.Empty(t, s.fault) },
+		})
+	})
+}
+
+// Guards against a rollout status that only its author knows: it reaches all serving instances and the
+// platform, also when the platform is out of reach at first.
+func TestStatusReachesInstancesAndPlatform(t *testing.T) {
+	for _, m := range []mode{pathUp, pathRefuses, pathSilent} {
+		s := newSim(1, 8, 2)
+		s.advance(simTarget)
+		s.up = m
+		st := &table.Status{Service: service(0), Attempt: 1, Outcome: table.OutcomeReverted, Stage: 2, Reason: "failure rate"}
+		for _, n := range s.nodes {
+			if n.held[dist.TableKey(service(0))] > 0 {
+				s.handle(n, dist.Advance{Status: st})
+				break
+			}
+		}
+		s.advance(simTarget)
+		require.Empty(t, s.behind(dist.StatusKey(service(0)), st.Revision()))
+		s.up = pathUp
+		s.advance(simTarget)
+		require.Len(t, s.history[dist.StatusKey(service(0))], 1)
+	}
+}
+
+// Guards against an instance that starts during an outage of the platform and has no routing tables.
+func TestStartDuringOutageLearnsFromPeers(t *testing.T) {
+	s := newSim(1, 16, 20)
+	s.advance(simTarget)
+	r := s.edit(service(0))
+	s.advance(simTarget)
+	for _, m := range []mode{pathRefuses, pathSilent} {
+		s.up = m
+		for _, n := range s.nodes[:5] {
+			s.stop(n)
+			s.start(n)
+			s.advance(simTarget)
+		}
+		s.up = pathUp
+		require.Empty(t, s.behind(dist.TableKey(service(0)), r))
+		for i := range 20 {
+			require.Empty(t, s.behind(dist.TableKey(service(i)), 1))
+		}
+	}
+}
+
+// Guards against a burst of calls when the platform comes back, and against calls during an outage that
+// grow with the number of objects.
+func TestOutageBringsNoBurst(t *testing.T) {
+	for _, m := range []mode{pathRefuses, pathSilent} {
+		s := newSim(1, 16, 110)
+		s.advance(40 * time.Second)
+		s.up = m
+		s.advance(40 * time.Second)
+		before := s.calls
+		s.advance(10 * time.Second)
+		require.Less(t, s.calls-before, 16*10)
+		s.up, s.starts = pathUp, nil
+		s.advance(10 * time.Second)
+		window := make(map[int64]int)
+		for _, at := range s.starts {
+			window[at.UnixMilli()/100]++
+		}
+		for _, n := range window {
+			require.Less(t, n, 200, "calls within 100 ms, at 2,000 reads a second")
+		}
+	}
+}
+
+// Guards against calls without pause when a replica of the platform shows an older version.
+func TestLaggingReplicaIsNotPolledFast(t *testing.T) {
+	s := newSim(1, 4, 1)
+	s.lag = 20 * time.Second
+	s.advance(time.Minute)
+	s.edit(service(0))
+	before := s.calls
+	s.advance(10 * time.Second)
+	require.Less(t, s.calls-before, 120)
+}
+
+// Guards against watches that grow with the fleet.
+func TestPendingWatchesDoNotGrowWithFleet(t *testing.T) {
+	for _, instances := range []int{16, 64} {
+		s := newSim(1, instances, 10)
+		s.advance(20 * time.Second)
+		n := 0
+		for _, x := range s.nodes {
+			n += x.core.Pending()
+		}
+		// Two watches of each table, list and of the catalogue; absent rollout statuses do not wait.
+		require.Equal(t, 2*10*2+2, n)
+	}
+}
+
+// Guards against an older word of a former life that keeps an instance from watching.
+func TestRestartReplacesFormerWord(t *testing.T) {
+	s := newSim(1, 2, 1)
+	s.advance(simTarget)
+	s.nodes[0].reach = pathRefuses
+	s.advance(simTarget)
+	s.stop(s.nodes[0])
+	s.start(s.nodes[0])
+	s.nodes[0].reach = pathUp
+	s.advance(simTarget)
+	r := s.nodes[1].core.Object(dist.TableKey(service(0)))
+	require.NotNil(t, r)
+	reply, _ := s.nodes[1].core.Answer(s.now, s.nodes[0].id, dist.Request{Buckets: make([]dist.Digest, dist.Buckets)})
+	for _, h := range reply.Held {
+		if h.Key == dist.ReachKey(s.nodes[0].id) {
+			require.Zero(t, h.Revision%2)
+		}
+	}
+}
+
+// Guards against keys that do not survive their text form, and against keys of unknown collections.
+func TestKeyText(t *testing.T) {
+	for _, k := range []dist.Key{dist.TableKey("a"), dist.StatusKey("b.c"), dist.ListingKey("d-1"), dist.ReachKey("i1")} {
+		got, err := dist.ParseKey(k.String())
+		require.NoError(t, err)
+		require.Equal(t, k, got)
+	}
+	for _, s := range []string{"", "tables", "tables/", "tables/A", "other/a", "catalog/all"} {
+		_, err := dist.ParseKey(s)
+		require.Error(t, err, s)
+	}
+	require.Equal(t, ident.ServiceName("a"), dist.TableKey("a").Service())
+}
--- /dev/null
+++ b/core/dist/key.go
@@ -0,0 +1,102 @@
+// Package dist decides how routing tables, server lists and rollout statuses reach the instances
+// that need them: which platform objects this instance watches, what it tells and asks its peers,
+// and which version of an object is in force. Versions join by revision, so nothing ever goes back.
+package dist
+
+import (
+	"cmp"
+	"strings"
+
+	"github.com/zeebo/errs"
+
+	"goldcreststand.example/core/ident"
+)
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("dist")
+
+// Kind says what an object holds.
+type Kind int
+
+// Kinds of objects.
+const (
+	// KindTable is the routing table of a service.
+	KindTable Kind = iota
+	// KindStatus is the rollout status of a service.
+	KindStatus
+	// KindListing is the platform's list of the backend servers of a service.
+	KindListing
+	// KindReach is an instance's word on whether it reaches the platform. The platform does not store it.
+	KindReach
+	// KindCatalog is the list of the services that have a routing table. Instances do not exchange it:
+	// the keys of the routing tables stand for it.
+	KindCatalog
+)
+
+// collections holds the first part of the text form of a key.
+func (k Kind) collection() string {
+	switch k {
+	case KindTable:
+		return "tables"
+	case KindStatus:
+		return "moves"
+	case KindListing:
+		return "instances"
+	case KindReach:
+		return "reach"
+	case KindCatalog:
+		return "catalog"
+	}
+	return ""
+}
+
+// Key names an object: its kind and the service or instance that it is about.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// TableKey returns the key of a service's routing table.
+func TableKey(s ident.ServiceName) Key { return Key{Kind: KindTable, Name: string(s)} }
+
+// StatusKey returns the key of a service's rollout status.
+func StatusKey(s ident.ServiceName) Key { return Key{Kind: KindStatus, Name: string(s)} }
+
+// ListingKey returns the key of a service's server list.
+func ListingKey(s ident.ServiceName) Key { return Key{Kind: KindListing, Name: string(s)} }
+
+// ReachKey returns the key of an instance's word on whether it reaches the platform.
+func ReachKey(id ident.InstanceID) Key { return Key{Kind: KindReach, Name: string(id)} }
+
+// CatalogKey returns the key of the list of services.
+func CatalogKey() Key { return Key{Kind: KindCatalog, Name: "all"} }
+
+// ParseKey reads the text form of a key.
+func ParseKey(s string) (Key, error) {
+	c, name, _ := strings.Cut(s, "/")
+	if err := ident.CheckName(name); err != nil {
+		return Key{}, Error.New("key %q: %w", s, err)
+	}
+	for _, k := range []Kind{KindTable, KindStatus, KindListing, KindReach} {
+		if k.collection() == c {
+			return Key{Kind: k, Name: name}, nil
+		}
+	}
+	return Key{}, Error.New("key %q has an unknown collection", s)
+}
+
+// String returns the text form of the key, such as tables/inventory.
+func (k Key) String() string { return k.Kind.collection() + "/" + k.Name }
+
+// Service returns the service that the object is about.
+func (k Key) Service() ident.ServiceName { return ident.ServiceName(k.Name) }
+
+func (k Key) compare(o Key) int {
+	return cmp.Or(cmp.Compare(k.Kind, o.Kind), cmp.Compare(k.Name, o.Name))
+}
+
+// Held names a revision of an object.
+type Held struct {
+	Key      Key
+	Revision ident.Revision
+}
--- /dev/null
+++ b/core/dist/object.go
@@ -0,0 +1,31 @@
+package dist
+
+import (
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/roster"
+	"goldcreststand.example/core/table"
+)
+
+// Object is one version of a routing table, rollout status or server list; the other two are nil.
+type Object struct {
+	Key      Key
+	Revision ident.Revision
+	Table    *table.Table
+	Status   *table.Status
+	Listing  *roster.Listing
+}
+
+// FromTable returns the object of a routing table.
+func FromTable(t *table.Table) Object {
+	return Object{Key: TableKey(t.Service), Revision: t.Revision, Table: t}
+}
+
+// FromStatus returns the object of a rollout status.
+func FromStatus(s *table.Status) Object {
+	return Object{Key: StatusKey(s.Service), Revision: s.Revision(), Status: s}
+}
+
+// FromListing returns the object of a server list.
+func FromListing(l *roster.Listing) Object {
+	return Object{Key: ListingKey(l.Service), Revision: l.Revision, Listing: l}
+}
