goldctl: edit tables, failure domains and rollouts with authorship

Cause: operators race each other; a refused edit must say who changed what. Change: rows carry their last author and revision, removed rows are remembered, a sheet names the revision it was read at, and the client gains check, diff, set, domain, move, progress, back and status. Findings of a sheet carry row and column. apply -wait ends when the revision is in force. Ruled out: merging two sheets by rows (an operator who replaces the whole table has not seen the other's rows, so the edit is refused); set and domain touch one row and start over after a conflict. Conclusion: the table can be edited by several operators without lost edits.

--- a/core/table/table.go
+++ b/core/table/table.go
@@ -7,6 +7,9 @@
 	"goldcreststand.example/core/ident"
 )
 
+// DefaultWeight is the weight of a subject that has no row.
+const DefaultWeight ident.Weight = 100
+
 // NoLimit is the limit of a row that does not bound its subject.
 const NoLimit ident.Slots = 0
 
@@ -18,6 +21,9 @@
 	// Limit is the largest number of calls in flight over all instances, or NoLimit.
 	Limit ident.Slots
 	State State
+	// Author made the last change of the row, at the revision Changed.
+	Author  string
+	Changed ident.Revision
 }
 
 // Move asks for a version rollout: traffic goes from one version to another until the deadline.
@@ -35,6 +41,8 @@
 	Edit     ident.EditID
 	Author   string
 	Rows     []Row
+	// Removed are the rows that were removed last, oldest first.
+	Removed []Removal
 	// Move is the newest version rollout, or nil when there has been none.
 	Move *Move
 }
--- a/goldcreststand/internal/admin/handler.go
+++ b/goldcreststand/internal/admin/handler.go
@@ -38,11 +38,11 @@
 }
 
 func (h *Handler) status(c echo.Context) error {
-	v := wire.View{ID: h.id, Domain: h.domain, State: wire.ViewStateStarting, Tables: []wire.Held{}, Members: []wire.Member{}}
-	for n, s := range h.snapshots.Load().Services {
-		v.Tables = append(v.Tables, wire.Held{Key: "tables/" + string(n), Revision: s.Revision})
+	v := wire.View{ID: h.id, Domain: h.domain, State: wire.ViewStateStarting, Tables: []wire.InForce{}, Members: []wire.Member{}}
+	for _, s := range h.snapshots.Load().Services {
+		v.Tables = append(v.Tables, inForce(s))
 	}
-	slices.SortFunc(v.Tables, func(a, b wire.Held) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(v.Tables, func(a, b wire.InForce) int { return cmp.Compare(a.Service, b.Service) })
 	if len(v.Tables) > 0 {
 		v.State = wire.ViewStateReady
 	}
@@ -55,3 +55,11 @@
 	}
 	return c.NoContent(http.StatusOK)
 }
+
+func inForce(s *route.Service) wire.InForce {
+	f := wire.InForce{Service: s.Name, Revision: s.Revision, Serving: s.Local, Servers: len(s.Servers)}
+	for _, b := range s.Servers {
+		f.Slots += int(b.Share)
+	}
+	return f
+}
--- a/goldctl/internal/cmd/applycmd.go
+++ b/goldctl/internal/cmd/applycmd.go
@@ -4,51 +4,69 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
 
+	"goldcreststand.example/core/ident"
 	"goldcreststand.example/lib/cli"
-	"goldcreststand.example/lib/sheet"
+	"goldcreststand.example/lib/plat"
 )
 
 type applyFlags struct {
 	target
-	file   string
-	author string
+	authorFlags
+	waitFlags
+	file string
+	base uint64
 }
 
 func newApplyCmd(cfg *Config) *cli.Command {
 	var f applyFlags
 	return &cli.Command{
 		Name:  "apply",
-		Short: "replace the rows of a routing table by those of a sheet",
+		Short: "replace the rows of a routing table by those of a sheet; refused when the table was edited since the sheet was read",
 		Flags: func(fs *flag.FlagSet) {
-			f.register(fs)
+			f.target.register(fs)
+			f.authorFlags.register(fs)
+			f.waitFlags.register(fs)
 			fs.StringVar(&f.file, "file", "table.csv", "sheet with the rows")
-			fs.StringVar(&f.author, "author", os.Getenv("USER"), "operator who makes the edit")
+			fs.Uint64Var(&f.base, "base", 0, "revision that the rows were read at, when the sheet does not name it")
 		},
 		Run: func(ctx context.Context, _ []string) error { return cfg.runApplyCmd(ctx, f) },
 	}
 }
 
 func (cfg *Config) runApplyCmd(ctx context.Context, f applyFlags) error {
-	in, err := os.Open(f.file)
+	if err := f.check(); err != nil {
+		return err
+	}
+	name, err := f.name()
 	if err != nil {
-		return cli.Exit(cli.ExitUsage, err)
+		return err
 	}
-	defer func() { _ = in.Close() }()
-	rows, err := sheet.Read(f.file, in)
+	s, err := readSheet(f.file, name)
 	if err != nil {
-		return cli.Exit(cli.ExitUsage, err)
+		return err
 	}
-	t, tag, err := f.read(ctx)
+	base := s.Revision
+	if base == 0 {
+		base = ident.Revision(f.base)
+	}
+	old, tag, err := f.read(ctx)
 	if err != nil {
 		return err
 	}
-	t.Rows, t.Author, t.Edit = rows, f.author, newEditID()
-	t.Revision++
-	if err := f.write(ctx, tag, t); err != nil {
+	if old.Revision != base {
+		return conflict(old, base)
+	}
+	next := old.Replace(s.Rows, f.author, newEditID())
+	err = f.write(ctx, tag, next)
+	if plat.ErrConflict.Has(err) {
+		if now, _, rerr := f.read(ctx); rerr == nil {
+			return conflict(now, base)
+		}
+	}
+	if err != nil {
 		return err
 	}
-	_, _ = fmt.Fprintf(cfg.Out, "%s: revision %d\n", t.Service, t.Revision)
-	return nil
+	_, _ = fmt.Fprintf(cfg.Out, "%s: accepted as revision %d\n", next.Service, next.Revision)
+	return cfg.waitInForce(ctx, f.waitFlags, name, next.Revision)
 }
--- a/goldctl/internal/cmd/cmd.go
+++ b/goldctl/internal/cmd/cmd.go
@@ -20,11 +20,14 @@
 func New(out, errw io.Writer) *cli.Program {
 	cfg := &Config{Out: out, Err: errw}
 	return &cli.Program{
-		Name:     "goldctl",
-		Short:    "the client for operators of goldcreststand",
-		Version:  Version,
-		Out:      out,
-		Err:      errw,
-		Commands: []*cli.Command{newApplyCmd(cfg), newGetCmd(cfg)},
+		Name:    "goldctl",
+		Short:   "the client for operators of goldcreststand",
+		Version: Version,
+		Out:     out,
+		Err:     errw,
+		Commands: []*cli.Command{
+			newApplyCmd(cfg), newBackCmd(cfg), newCheckCmd(cfg), newDiffCmd(cfg), newDomainCmd(cfg),
+			newGetCmd(cfg), newMoveCmd(cfg), newProgressCmd(cfg), newSetCmd(cfg), newStatusCmd(cfg),
+		},
 	}
 }
--- /dev/null
+++ b/goldctl/internal/cmd/movecmd.go
@@ -0,0 +1,79 @@
+package cmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"time"
+
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/table"
+	"goldcreststand.example/lib/cli"
+	"goldcreststand.example/schema/wire"
+)
+
+type moveFlags struct {
+	target
+	authorFlags
+	waitFlags
+	from string
+	to   string
+	by   time.Duration
+}
+
+func newMoveCmd(cfg *Config) *cli.Command {
+	var f moveFlags
+	return &cli.Command{
+		Name:  "move",
+		Short: "start a version rollout; it is done or rolled back by its deadline",
+		Flags: func(fs *flag.FlagSet) {
+			f.target.register(fs)
+			f.authorFlags.register(fs)
+			f.waitFlags.register(fs)
+			fs.StringVar(&f.from, "from", "", "version that serves now")
+			fs.StringVar(&f.to, "to", "", "version that shall serve")
+			fs.DurationVar(&f.by, "by", time.Hour, "time from now until the deadline")
+		},
+		Run: func(ctx context.Context, _ []string) error { return cfg.runMoveCmd(ctx, f) },
+	}
+}
+
+func (cfg *Config) runMoveCmd(ctx context.Context, f moveFlags) error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	m := table.Move{Deadline: time.Now().Add(f.by).UTC().Truncate(time.Second)}
+	if err := m.From.UnmarshalText([]byte(f.from)); err != nil {
+		return usagef("flag -from: %v", err)
+	}
+	if err := m.To.UnmarshalText([]byte(f.to)); err != nil {
+		return usagef("flag -to: %v", err)
+	}
+	if m.From == m.To || f.by <= 0 {
+		return usagef("a rollout needs two versions and a deadline in the future")
+	}
+	t, err := f.edit(ctx, func(t *table.Table) (*table.Table, error) {
+		st, err := f.progress(ctx, t)
+		if err != nil {
+			return nil, err
+		}
+		if t.Move != nil && st.Outcome == wire.StatusOutcomeRunning {
+			return nil, fmt.Errorf("rollout %d from %s to %s is still running", t.Move.Attempt, t.Move.From, t.Move.To)
+		}
+		return t.Start(m, f.author, newEditID()), nil
+	})
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(cfg.Out, "%s: rollout %d from %s to %s until %s accepted as revision %d\n",
+		t.Service, t.Move.Attempt, t.Move.From, t.Move.To, t.Move.Deadline.Format(time.RFC3339), t.Revision)
+	return cfg.waitInForce(ctx, f.waitFlags, t.Service, t.Revision)
+}
+
+// attemptOf returns the number of the table's newest rollout, or 0.
+func attemptOf(t *table.Table) ident.Attempt {
+	if t.Move == nil {
+		return 0
+	}
+	return t.Move.Attempt
+}
--- a/goldctl/internal/cmd/platform.go
+++ b/goldctl/internal/cmd/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"flag"
+	"os"
 	"strings"
 	"time"
 
@@ -11,31 +12,55 @@
 	"goldcreststand.example/core/table"
 	"goldcreststand.example/lib/cli"
 	"goldcreststand.example/lib/plat"
+	"goldcreststand.example/lib/sheet"
 	"goldcreststand.example/schema/wire"
 )
 
 // platformTimeout bounds a call of the platform.
 const platformTimeout = 5 * time.Second
 
+// collectionTables is the platform's collection of routing tables.
+const collectionTables = "tables"
+
+// platformFlags says how to reach the platform.
+type platformFlags struct {
+	url string
+}
+
+func (f *platformFlags) register(fs *flag.FlagSet) {
+	fs.StringVar(&f.url, "platform", "http://127.0.0.1:7000", "base URL of the platform")
+}
+
+func (f *platformFlags) client() *plat.Client { return plat.New(f.url, platformTimeout) }
+
 // target names a routing table on a platform.
 type target struct {
-	url     string
+	platformFlags
 	service string
 }
 
 func (t *target) register(fs *flag.FlagSet) {
-	fs.StringVar(&t.url, "platform", "http://127.0.0.1:7000", "base URL of the platform")
+	t.platformFlags.register(fs)
 	fs.StringVar(&t.service, "service", "", "name of the service")
 }
 
+// name returns the checked name of the service.
+func (t *target) name() (ident.ServiceName, error) {
+	var n ident.ServiceName
+	if err := n.UnmarshalText([]byte(t.service)); err != nil {
+		return "", cli.Exit(cli.ExitUsage, err)
+	}
+	return n, nil
+}
+
 // read returns the table and its tag. An absent table is an empty one with an empty tag.
 func (t *target) read(ctx context.Context) (*table.Table, plat.Tag, error) {
-	var name ident.ServiceName
-	if err := name.UnmarshalText([]byte(t.service)); err != nil {
-		return nil, "", cli.Exit(cli.ExitUsage, err)
+	name, err := t.name()
+	if err != nil {
+		return nil, "", err
 	}
 	var m wire.Table
-	tag, err := plat.New(t.url, platformTimeout).Get(ctx, t.path(), &m)
+	tag, err := t.client().Get(ctx, t.path(), &m)
 	if plat.ErrNotFound.Has(err) {
 		return &table.Table{Service: name}, "", nil
 	}
@@ -47,14 +72,48 @@
 
 // write stores the table when it still has the tag.
 func (t *target) write(ctx context.Context, tag plat.Tag, tb *table.Table) error {
-	_, err := plat.New(t.url, platformTimeout).Put(ctx, t.path(), tag, wire.FromTable(tb))
-	if plat.ErrConflict.Has(err) {
-		return cli.Exit(cli.ExitConflict, err)
-	}
+	_, err := t.client().Put(ctx, t.path(), tag, wire.FromTable(tb))
 	return err
 }
 
-func (t *target) path() string { return plat.ObjectPath("tables", t.service) }
+func (t *target) path() string { return plat.ObjectPath(collectionTables, t.service) }
+
+// services returns the names of all services that have a routing table.
+func (f *platformFlags) services(ctx context.Context) ([]string, error) {
+	var k wire.Keys
+	if _, err := f.client().Get(ctx, "/objects/"+collectionTables, &k); err != nil {
+		return nil, err
+	}
+	return k.Names, nil
+}
+
+// authorFlags names the operator.
+type authorFlags struct {
+	author string
+}
+
+func (f *authorFlags) register(fs *flag.FlagSet) {
+	fs.StringVar(&f.author, "author", os.Getenv("USER"), "operator who makes the edit")
+}
+
+// check returns an error when no operator is named.
+func (f *authorFlags) check() error {
+	if f.author == "" {
+		return usagef("flag -author is missing")
+	}
+	return nil
+}
+
+// readSheet reads and checks the sheet of the named service.
+func readSheet(file string, name ident.ServiceName) (*sheet.Sheet, error) {
+	in, err := os.Open(file)
+	if err != nil {
+		return nil, cli.Exit(cli.ExitUsage, err)
+	}
+	defer func() { _ = in.Close() }()
+	s, err := sheet.Read(file, name, in)
+	return s, cli.Exit(cli.ExitUsage, err)
+}
 
 // newEditID returns an identifier that no other edit has.
 func newEditID() ident.EditID { return ident.EditID(strings.ToLower(rand.Text())) }
--- a/lib/sheet/sheet.go
+++ b/lib/sheet/sheet.go
@@ -1,76 +1,79 @@
 // Package sheet reads and writes the rows of a routing table as comma-separated values (RFC 4180), the
-// form that spreadsheets exchange.
+// form that spreadsheets exchange. A comment line names the service and the revision that the rows were
+// read at, so that an edit of an old revision is noticed.
 package sheet
 
 import (
+	"bufio"
+	"bytes"
 	"encoding/csv"
 	"errors"
 	"fmt"
 	"io"
 	"slices"
 	"strconv"
+	"strings"
 
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/table"
 	"goldcreststand.example/lib/conf"
 )
 
-// Columns of a sheet.
-const (
-	columnKind = iota
-	columnName
-	columnWeight
-	columnLimit
-	columnState
-	columnCount
-)
+// comment opens a comment line.
+const comment = '#'
 
-func header() []string { return []string{"kind", "name", "weight", "limit", "state"} }
+// Sheet is the file form of a routing table.
+type Sheet struct {
+	// Service is empty when the sheet does not name it.
+	Service ident.ServiceName
+	// Revision is the revision that the rows were read at, 0 when the sheet does not name it.
+	Revision ident.Revision
+	Rows     []table.Row
+}
 
-// Read returns the rows of a sheet. Faults of its content are conf.Findings, placed in the named file.
-func Read(file string, r io.Reader) ([]table.Row, error) {
-	cr := csv.NewReader(r)
-	cr.FieldsPerRecord = -1
-	var rows []table.Row
-	var found conf.Findings
-	for first := true; ; first = false {
-		rec, err := cr.Read()
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return nil, append(found, syntaxFinding(file, err))
-		}
-		d := &decoder{file: file, csv: cr, record: rec}
-		switch {
-		case first && !slices.Equal(rec, header()):
-			d.add(0, fmt.Sprintf("first row is not %q", header()))
-		case first:
-		case len(rec) != columnCount:
-			d.add(0, fmt.Sprintf("row has %d columns, not %d", len(rec), columnCount))
-		default:
-			rows = append(rows, d.row())
-		}
-		found = append(found, d.found...)
+// position is a place in a sheet; both numbers count from 1.
+type position struct {
+	line   int
+	column int
+}
+
+// Read decodes and checks a sheet for the named service. Faults of its content are conf.Findings,
+// placed in the named file.
+func Read(file string, service ident.ServiceName, r io.Reader) (*Sheet, error) {
+	b, err := io.ReadAll(r)
+	if err != nil {
+		return nil, err
+	}
+	s := &Sheet{}
+	s.readComment(b)
+	d := &decoder{file: file, csv: csv.NewReader(bytes.NewReader(b))}
+	d.csv.FieldsPerRecord = -1
+	d.csv.Comment = comment
+	d.readAll()
+	if len(d.found) == 0 {
+		d.check(service)
+	}
+	if s.Service != "" && s.Service != service {
+		d.found = append(d.found, conf.Finding{File: file, Line: 1, Column: 1, Message: fmt.Sprintf("sheet is for service %s, not %s", s.Service, service)})
 	}
-	if len(found) > 0 {
-		return nil, found
+	if len(d.found) > 0 {
+		return nil, d.found
 	}
-	return rows, nil
+	s.Rows = d.rows
+	return s, nil
 }
 
-// Write writes the rows as a sheet.
-func Write(w io.Writer, rows []table.Row) error {
+// Write writes the table as a sheet.
+func Write(w io.Writer, t *table.Table) error {
+	if _, err := fmt.Fprintf(w, "%c service %s revision %d\n", comment, t.Service, t.Revision); err != nil {
+		return err
+	}
 	cw := csv.NewWriter(w)
 	if err := cw.Write(header()); err != nil {
 		return err
 	}
-	for _, r := range rows {
-		rec := []string{
-			r.Kind.String(), r.Name, strconv.FormatUint(uint64(r.Weight), 10),
-			strconv.FormatInt(int64(r.Limit), 10), r.State.String(),
-		}
-		if err := cw.Write(rec); err != nil {
+	for _, r := range t.Rows {
+		if err := cw.Write(Fields(r)); err != nil {
 			return err
 		}
 	}
@@ -78,52 +81,32 @@
 	return cw.Error()
 }
 
-// decoder decodes one record and collects its findings.
-type decoder struct {
-	file   string
-	csv    *csv.Reader
-	record []string
-	found  conf.Findings
-}
-
-func (d *decoder) row() table.Row {
-	return table.Row{
-		Kind:   parse(d, columnKind, table.KindString),
-		Name:   parse(d, columnName, parseName),
-		Weight: ident.Weight(parse(d, columnWeight, parseNumber(int64(ident.MaxWeight)))),
-		Limit:  ident.Slots(parse(d, columnLimit, parseNumber(maxLimit))),
-		State:  parse(d, columnState, table.StateString),
+// Fields returns the row's fields in the order of the columns.
+func Fields(r table.Row) []string {
+	return []string{
+		r.Kind.String(), r.Name, strconv.FormatUint(uint64(r.Weight), 10),
+		strconv.FormatInt(int64(r.Limit), 10), r.State.String(),
 	}
 }
 
-func (d *decoder) add(column int, message string) {
-	line, col := d.csv.FieldPos(column)
-	d.found = append(d.found, conf.Finding{File: d.file, Line: line, Column: col, Message: message})
-}
-
-func parse[T any](d *decoder, column int, f func(string) (T, error)) T {
-	v, err := f(d.record[column])
-	if err != nil {
-		d.add(column, err.Error())
+// readComment reads the service and revision from the first line. A spreadsheet may have padded the
+// line with empty columns or quoted it.
+func (s *Sheet) readComment(b []byte) {
+	line, _ := bufio.NewReader(bytes.NewReader(b)).ReadString('\n')
+	words := strings.Fields(strings.Trim(strings.TrimSpace(line), `,"`))
+	if len(words) != 5 || words[0] != string(comment) || words[1] != "service" || words[3] != "revision" {
+		return
 	}
-	return v
-}
-
-// maxLimit is the largest limit of a row in calls in flight.
-const maxLimit = 1_000_000
-
-func parseName(s string) (string, error) { return s, ident.CheckName(s) }
-
-func parseNumber(maximum int64) func(string) (int64, error) {
-	return func(s string) (int64, error) {
-		n, err := strconv.ParseInt(s, 10, 64)
-		if err != nil || n < 0 || n > maximum {
-			return 0, fmt.Errorf("%q is not a whole number from 0 to %d", s, maximum)
-		}
-		return n, nil
+	n, err := strconv.ParseUint(words[4], 10, 64)
+	if err != nil || s.Service.UnmarshalText([]byte(words[2])) != nil {
+		return
 	}
+	s.Revision = ident.Revision(n)
 }
 
+func header() []string { return []string{"kind", "name", "weight", "limit", "state"} }
+
+// syntaxFinding places an error of the CSV reader.
 func syntaxFinding(file string, err error) conf.Finding {
 	var p *csv.ParseError
 	if errors.As(err, &p) {
@@ -131,3 +114,5 @@
 	}
 	return conf.Finding{File: file, Message: err.Error()}
 }
+
+func isHeader(rec []string) bool { return slices.Equal(rec, header()) }
--- a/schema/wire/convert.go
+++ b/schema/wire/convert.go
@@ -15,9 +15,13 @@
 		Edit:     t.Edit,
 		Author:   t.Author,
 		Rows:     make([]Row, len(t.Rows)),
+		Removed:  make([]Removal, len(t.Removed)),
 	}
 	for i, r := range t.Rows {
-		out.Rows[i] = Row{Kind: r.Kind, Name: r.Name, Weight: r.Weight, Limit: r.Limit, State: r.State}
+		out.Rows[i] = Row{Kind: r.Kind, Name: r.Name, Weight: r.Weight, Limit: r.Limit, State: r.State, Author: r.Author, Changed: r.Changed}
+	}
+	for i, r := range t.Removed {
+		out.Removed[i] = Removal{Kind: r.Kind, Name: r.Name, Author: r.Author, Revision: r.Revision}
 	}
 	if t.Move != nil {
 		out.Move = &Move{Attempt: t.Move.Attempt, From: t.Move.From, To: t.Move.To, Deadline: t.Move.Deadline}
@@ -45,9 +49,13 @@
 		Edit:     j.Edit,
 		Author:   j.Author,
 		Rows:     make([]table.Row, len(j.Rows)),
+		Removed:  make([]table.Removal, len(j.Removed)),
 	}
 	for i, r := range j.Rows {
-		out.Rows[i] = table.Row{Kind: r.Kind, Name: r.Name, Weight: r.Weight, Limit: r.Limit, State: r.State}
+		out.Rows[i] = table.Row{Kind: r.Kind, Name: r.Name, Weight: r.Weight, Limit: r.Limit, State: r.State, Author: r.Author, Changed: r.Changed}
+	}
+	for i, r := range j.Removed {
+		out.Removed[i] = table.Removal{Kind: r.Kind, Name: r.Name, Author: r.Author, Revision: r.Revision}
 	}
 	if j.Move != nil {
 		out.Move = &table.Move{Attempt: j.Move.Attempt, From: j.Move.From, To: j.Move.To, Deadline: j.Move.Deadline}
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -208,6 +208,60 @@
 	return nil
 }
 
+// InForce is what one instance does for one service.
+type InForce struct {
+	// Revision of the routing table in force.
+	Revision ident.Revision `json:"revision"`
+
+	// Backend servers that may take new work from the instance.
+	Servers int `json:"servers"`
+
+	// Service that the table is for.
+	Service ident.ServiceName `json:"service"`
+
+	// Whether the instance serves the service.
+	Serving bool `json:"serving"`
+
+	// Calls in flight that the instance may have at them.
+	Slots int `json:"slots"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *InForce) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["revision"]; raw != nil && !ok {
+		return fmt.Errorf("field revision in InForce: required")
+	}
+	if _, ok := raw["servers"]; raw != nil && !ok {
+		return fmt.Errorf("field servers in InForce: required")
+	}
+	if _, ok := raw["service"]; raw != nil && !ok {
+		return fmt.Errorf("field service in InForce: required")
+	}
+	if _, ok := raw["serving"]; raw != nil && !ok {
+		return fmt.Errorf("field serving in InForce: required")
+	}
+	if _, ok := raw["slots"]; raw != nil && !ok {
+		return fmt.Errorf("field slots in InForce: required")
+	}
+	type Plain InForce
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Servers {
+		return fmt.Errorf("field %s: must be >= %v", "servers", 0)
+	}
+	if 0 > plain.Slots {
+		return fmt.Errorf("field %s: must be >= %v", "slots", 0)
+	}
+	*j = InForce(plain)
+	return nil
+}
+
 // Keys lists the names of the objects of one collection of the platform.
 type Keys struct {
 	// Names of the objects.
@@ -569,6 +623,54 @@
 	return nil
 }
 
+// Removal remembers who removed a row.
+type Removal struct {
+	// Operator who removed the row.
+	Author string `json:"author"`
+
+	// Subject of the row.
+	Kind table.Kind `json:"kind"`
+
+	// Name of the subject.
+	Name string `json:"name"`
+
+	// Revision that removed the row.
+	Revision ident.Revision `json:"revision"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Removal) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["author"]; raw != nil && !ok {
+		return fmt.Errorf("field author in Removal: required")
+	}
+	if _, ok := raw["kind"]; raw != nil && !ok {
+		return fmt.Errorf("field kind in Removal: required")
+	}
+	if _, ok := raw["name"]; raw != nil && !ok {
+		return fmt.Errorf("field name in Removal: required")
+	}
+	if _, ok := raw["revision"]; raw != nil && !ok {
+		return fmt.Errorf("field revision in Removal: required")
+	}
+	type Plain Removal
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if utf8.RuneCountInString(string(plain.Author)) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "author", 64)
+	}
+	if matched, _ := regexp.MatchString(`^[a-z0-9][a-z0-9._-]{0,63}$`, string(plain.Name)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "Name", `^[a-z0-9][a-z0-9._-]{0,63}$`)
+	}
+	*j = Removal(plain)
+	return nil
+}
+
 // Report is the parameter of the method report: outcome counts of a version
 // rollout.
 type Report struct {
@@ -617,6 +719,12 @@
 
 // Row is one row of a routing table.
 type Row struct {
+	// Operator who made the last change of the row.
+	Author string `json:"author"`
+
+	// Revision of the last change of the row.
+	Changed ident.Revision `json:"changed"`
+
 	// Subject of the row.
 	Kind table.Kind `json:"kind"`
 
@@ -639,6 +747,12 @@
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
+	if _, ok := raw["author"]; raw != nil && !ok {
+		return fmt.Errorf("field author in Row: required")
+	}
+	if _, ok := raw["changed"]; raw != nil && !ok {
+		return fmt.Errorf("field changed in Row: required")
+	}
 	if _, ok := raw["kind"]; raw != nil && !ok {
 		return fmt.Errorf("field kind in Row: required")
 	}
@@ -659,6 +773,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if utf8.RuneCountInString(string(plain.Author)) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "author", 64)
+	}
 	if matched, _ := regexp.MatchString(`^[a-z0-9][a-z0-9._-]{0,63}$`, string(plain.Name)); !matched {
 		return fmt.Errorf("field %s pattern match: must match %s", "Name", `^[a-z0-9][a-z0-9._-]{0,63}$`)
 	}
@@ -831,6 +948,9 @@
 	// Move corresponds to the JSON schema field "move".
 	Move *Move `json:"move,omitempty,omitzero"`
 
+	// Rows that were removed last, oldest first.
+	Removed []Removal `json:"removed"`
+
 	// Number of the edit, growing by one.
 	Revision ident.Revision `json:"revision"`
 
@@ -853,6 +973,9 @@
 	if _, ok := raw["edit"]; raw != nil && !ok {
 		return fmt.Errorf("field edit in Table: required")
 	}
+	if _, ok := raw["removed"]; raw != nil && !ok {
+		return fmt.Errorf("field removed in Table: required")
+	}
 	if _, ok := raw["revision"]; raw != nil && !ok {
 		return fmt.Errorf("field revision in Table: required")
 	}
@@ -873,6 +996,9 @@
 	if utf8.RuneCountInString(string(plain.Author)) > 64 {
 		return fmt.Errorf("field %s length: must be <= %d", "author", 64)
 	}
+	if len(plain.Removed) > 100 {
+		return fmt.Errorf("field %s length: must be <= %d", "removed", 100)
+	}
 	if len(plain.Rows) > 4000 {
 		return fmt.Errorf("field %s length: must be <= %d", "rows", 4000)
 	}
@@ -895,7 +1021,7 @@
 	State ViewState `json:"state"`
 
 	// Routing tables in force.
-	Tables []Held `json:"tables"`
+	Tables []InForce `json:"tables"`
 }
 
 type ViewState string
