goldload: open-loop load with bursts, tenants, writes and verdicts

Cause: the demo and the measurements need to know how each call ended for its caller, not only a latency. Change: calls arrive as a Poisson process with bursts, in open loop; each response is judged against its own request (complete, rejected, unknown, late, broken, wrong) and latencies go into histograms by tenant and kind. Ruled out: a closed loop, which hides late responses behind fewer calls. Conclusion: a run can be made to fail on wrong or broken responses.

--- a/goldload/internal/cmd/runcmd.go
+++ b/goldload/internal/cmd/runcmd.go
@@ -4,33 +4,73 @@
 	"context"
 	"flag"
 	"fmt"
+	"strings"
 	"time"
 
+	"goldcreststand.example/core/ident"
 	"goldcreststand.example/goldload/internal/load"
 	"goldcreststand.example/lib/cli"
 )
 
+type runFlags struct {
+	plan      load.Plan
+	instances string
+	service   string
+	tenants   string
+	writes    uint
+	strict    bool
+}
+
 func newRunCmd(cfg *Config) *cli.Command {
-	var plan load.Plan
+	var f runFlags
 	return &cli.Command{
 		Name:  "run",
-		Short: "call a service at a fixed rate and print the latencies",
-		Flags: func(fs *flag.FlagSet) {
-			fs.StringVar(&plan.Instance, "instance", "127.0.0.1:8000", "traffic address of any instance")
-			fs.StringVar(&plan.Service, "service", "inventory", "name of the service")
-			fs.IntVar(&plan.Rate, "rate", 200, "calls per second")
-			fs.DurationVar(&plan.Time, "time", 5*time.Second, "time to run")
-			fs.DurationVar(&plan.Timeout, "timeout", time.Second, "deadline of a call")
-		},
-		Run: func(ctx context.Context, _ []string) error { return cfg.runRunCmd(ctx, plan) },
+		Short: "call a service and print how the calls ended, with latencies by tenant",
+		Flags: f.register,
+		Run:   func(ctx context.Context, _ []string) error { return cfg.runRunCmd(ctx, f) },
 	}
 }
 
-func (cfg *Config) runRunCmd(ctx context.Context, plan load.Plan) error {
-	r, err := load.Run(ctx, plan)
+func (f *runFlags) register(fs *flag.FlagSet) {
+	fs.StringVar(&f.instances, "instances", "127.0.0.1:8000", "traffic addresses for lookups, separated by commas")
+	fs.StringVar(&f.service, "service", "inventory", "name of the service")
+	fs.StringVar(&f.tenants, "tenants", "", "tenants, used in turn, separated by commas")
+	fs.UintVar(&f.writes, "writes", 200, "share of calls that are not idempotent, per mille")
+	fs.IntVar(&f.plan.Rate, "rate", 200, "calls per second outside bursts")
+	fs.DurationVar(&f.plan.Time, "time", 5*time.Second, "time to run")
+	fs.DurationVar(&f.plan.Timeout, "timeout", time.Second, "deadline of a call")
+	fs.DurationVar(&f.plan.Every, "every", 0, "time from one burst to the next; 0 makes none")
+	fs.DurationVar(&f.plan.Length, "length", 300*time.Millisecond, "length of a burst")
+	fs.IntVar(&f.plan.Factor, "factor", 3, "factor of the rate in a burst")
+	fs.Uint64Var(&f.plan.Seed, "seed", 1, "seed of the sequence of calls")
+	fs.BoolVar(&f.strict, "strict", false, "end with exit code 1 when a call got a wrong or broken response")
+}
+
+func (cfg *Config) runRunCmd(ctx context.Context, f runFlags) error {
+	f.plan.Instances = strings.Split(f.instances, ",")
+	f.plan.Writes = ident.Share(f.writes)
+	if err := f.plan.Service.UnmarshalText([]byte(f.service)); err != nil {
+		return cli.Exit(cli.ExitUsage, err)
+	}
+	if f.tenants != "" {
+		for _, s := range strings.Split(f.tenants, ",") {
+			var t ident.TenantName
+			if err := t.UnmarshalText([]byte(s)); err != nil {
+				return cli.Exit(cli.ExitUsage, err)
+			}
+			f.plan.Tenants = append(f.plan.Tenants, t)
+		}
+	}
+	if err := f.plan.Check(); err != nil {
+		return cli.Exit(cli.ExitUsage, err)
+	}
+	r, err := load.Run(ctx, f.plan)
 	if err != nil {
 		return err
 	}
 	_, _ = fmt.Fprint(cfg.Out, r)
+	if n := r.Count(load.VerdictWrong) + r.Count(load.VerdictBroken); f.strict && n > 0 {
+		return fmt.Errorf("%d calls got a wrong or broken response", n)
+	}
 	return nil
 }
