--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,9 @@
 generate:
 	for m in $(MODULES); do (cd $$m && PATH="$(CURDIR)/bin:$$PATH" go generate ./...) || exit 1; done
 
+demo: build
+	demo/run.sh
+
 format:
 	bin/gofumpt -w $(MODULES)
 
