goldcreststand/peer: add the JSON-RPC link between instances

Cause: membership, fetches of tables and rollout reports need one link. Change: a JSON-RPC 2.0 server and client over TCP. Methods are registered by name; ping is the first. Ruled out: a framing of our own (the library's plain stream and a bounded connection do it); handling requests in order on a connection (a slow method would delay heartbeats and cause false suspicion). Measured: the package's tests pass under -race; 13 bad messages each get their error, ten calls use one connection, a silent peer costs one timeout. Conclusion: fetch and report can be added in files of their own.

--- a/goldcreststand/internal/cmd/servecmd.go
+++ b/goldcreststand/internal/cmd/servecmd.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"flag"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/route"
 	"goldcreststand.example/goldcreststand/internal/admin"
 	"goldcreststand.example/goldcreststand/internal/ctrl"
+	"goldcreststand.example/goldcreststand/internal/peer"
 	"goldcreststand.example/goldcreststand/internal/proxy"
 	"goldcreststand.example/goldcreststand/internal/watch"
 	"goldcreststand.example/lib/boot"
@@ -18,6 +21,7 @@
 	"goldcreststand.example/lib/logs"
 	"goldcreststand.example/lib/plat"
 	"goldcreststand.example/schema/config"
+	"goldcreststand.example/schema/wire"
 )
 
 // headerTimeout bounds the time in which a request's headers must arrive.
@@ -51,6 +55,10 @@
 	defer stop()
 	go loop.Run(control)
 	go w.Run(control, loop)
+	link, err := startPeer(control, s, clock, logs.Part(log, "peer"))
+	if err != nil {
+		return err
+	}
 	traffic := proxy.New(proxy.Options{
 		Timeout: s.Traffic.Timeout.Std(), Maximum: s.Traffic.Maximum.Std(), Lifetime: s.Place.Lifetime.Std(),
 	}, loop, route.LeastLoaded{}, boot.Clock{})
@@ -62,6 +70,7 @@
 	stop()
 	<-loop.Done()
 	<-w.Done()
+	<-link.Done()
 	return err
 }
 
@@ -79,6 +88,33 @@
 	}
 }
 
+// startPeer opens the link to other instances.
+func startPeer(ctx context.Context, s *config.Settings, clock clockwork.Clock, log *logs.Prefixed) (*peer.Peer, error) {
+	sock, err := net.Listen("tcp", s.Peer.Address.String())
+	if err != nil {
+		return nil, err
+	}
+	p := peer.New(clock, log)
+	p.ServePing(selfOnly{id: s.Name})
+	log.Infof("listens on %s", sock.Addr())
+	go func() {
+		if err := p.Run(ctx, sock); err != nil {
+			log.Errorf("listener failed: %v", err)
+		}
+	}()
+	return p, nil
+}
+
+// selfOnly answers heartbeats for an instance that does not take part in membership yet.
+type selfOnly struct{ id ident.InstanceID }
+
+var _ peer.Pinger = selfOnly{}
+
+// Ping answers with the instance's identifier.
+func (s selfOnly) Ping(context.Context, *wire.Ping) (*wire.Pong, error) {
+	return &wire.Pong{Sender: s.id}, nil
+}
+
 // newListener returns a listener that has not started.
 func newListener(name, address string, h http.Handler) *listener {
 	return &listener{name: name, srv: &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout}}
--- /dev/null
+++ b/goldcreststand/internal/peer/peer_test.go
@@ -0,0 +1,170 @@
+package peer_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sourcegraph/jsonrpc2"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"goldcreststand.example/goldcreststand/internal/peer"
+	"goldcreststand.example/schema/wire"
+)
+
+type discard struct{}
+
+func (discard) Debugf(string, ...any) {}
+func (discard) Warnf(string, ...any)  {}
+
+type echo struct{}
+
+func (echo) Ping(_ context.Context, p *wire.Ping) (*wire.Pong, error) {
+	if p.Sender == "panic" {
+		panic("requested")
+	}
+	return &wire.Pong{Sender: "server", Incarnation: p.Incarnation}, nil
+}
+
+func start(t *testing.T, opts ...peer.Option) (*peer.Peer, netip.AddrPort) {
+	t.Helper()
+	sock, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return serve(t, sock, opts...), netip.MustParseAddrPort(sock.Addr().String())
+}
+
+func serve(t *testing.T, sock net.Listener, opts ...peer.Option) *peer.Peer {
+	t.Helper()
+	p := peer.New(clockwork.NewRealClock(), discard{}, opts...)
+	p.ServePing(echo{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _ = p.Run(ctx, sock) }()
+	t.Cleanup(func() {
+		cancel()
+		<-p.Done()
+	})
+	return p
+}
+
+func ping(t *testing.T, p *peer.Peer, to netip.AddrPort, sender string) error {
+	t.Helper()
+	got, err := p.Ping(t.Context(), to, &wire.Ping{Sender: "x", Incarnation: 7})
+	if err == nil {
+		require.Equal(t, "server", string(got.Sender))
+		require.EqualValues(t, 7, got.Incarnation)
+	}
+	if sender != "x" {
+		_, err = p.Ping(t.Context(), to, &wire.Ping{Sender: "panic", Incarnation: 7})
+	}
+	return err
+}
+
+// Guards against goroutines and connections that outlive Run.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Guards against a method that fails taking the process or the connection with it.
+func TestPanicInMethodIsAnError(t *testing.T) {
+	_, to := start(t)
+	p, _ := start(t)
+	var rejected *jsonrpc2.Error
+	require.ErrorAs(t, ping(t, p, to, "panic"), &rejected)
+	require.EqualValues(t, jsonrpc2.CodeInternalError, rejected.Code)
+	require.NoError(t, ping(t, p, to, "x"))
+}
+
+// Guards against a bad message that gets no response, a vague one, or ends the process.
+func TestBadMessages(t *testing.T) {
+	_, to := start(t, peer.WithMaximum(4096))
+	for _, c := range []struct{ name, send, want string }{
+		{"not JSON", "GET / HTTP/1.1\r\n\r\n", `"code":-32700`},
+		{"neither request nor response", `{"jsonrpc":"2.0"}`, `"code":-32600`},
+		{"null", `null`, `"code":-32600`},
+		{"empty batch", `[]`, `"code":-32600`},
+		{"batch", `[{"jsonrpc":"2.0","method":"ping","id":1}]`, `"code":-32600`},
+		{"id of a wrong type", `{"method":"ping","id":{}}`, `"code":-32600`},
+		{"unknown method", `{"method":"none","params":{},"id":3}`, `"id":3,"error":{"code":-32601`},
+		{"no params", `{"method":"ping","id":3}`, `"code":-32602,"message":"params missing"`},
+		{"invalid sender", `{"method":"ping","params":{"sender":"A B","incarnation":1},"id":3}`, `invalid character`},
+		{"missing field", `{"method":"ping","params":{"sender":"a"},"id":3}`, `incarnation in Ping: required`},
+		{"unknown state", `{"method":"ping","params":{"sender":"a","incarnation":1,"members":[{"id":"b","incarnation":1,"state":"gone"}]},"id":3}`, `"code":-32602`},
+		{"too large", `{"method":"` + strings.Repeat("x", 5000), `larger than the limit`},
+		{"deep", strings.Repeat("[", 4000), `larger than the limit`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", to.String())
+			require.NoError(t, err)
+			defer func() { require.NoError(t, conn.Close()) }()
+			require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+			_, err = conn.Write([]byte(c.send + strings.Repeat(" ", 100)))
+			require.NoError(t, err)
+			line, err := bufio.NewReader(conn).ReadString('\n')
+			require.NoError(t, err)
+			require.Contains(t, line, c.want)
+		})
+	}
+}
+
+// Guards against a connection per call.
+func TestConnectionIsReused(t *testing.T) {
+	sock, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	counted := &counter{Listener: sock}
+	serve(t, counted)
+	p, _ := start(t)
+	for range 10 {
+		require.NoError(t, ping(t, p, netip.MustParseAddrPort(sock.Addr().String()), "x"))
+	}
+	require.EqualValues(t, 1, counted.accepted.Load())
+}
+
+type counter struct {
+	net.Listener
+	accepted atomic.Int32
+}
+
+func (c *counter) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err == nil {
+		c.accepted.Add(1)
+	}
+	return conn, err
+}
+
+// Guards against a peer that accepts connections and then says nothing: the call must end in time, and
+// the next call must use a new connection.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	sock, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	to := netip.MustParseAddrPort(sock.Addr().String())
+	p, _ := start(t, peer.WithTimeout(200*time.Millisecond))
+	begin := time.Now()
+	require.Error(t, ping(t, p, to, "x"))
+	require.Less(t, time.Since(begin), 2*time.Second)
+	silent, err := sock.Accept()
+	require.NoError(t, err)
+	defer func() { require.NoError(t, silent.Close()) }()
+	serve(t, sock)
+	require.NoError(t, ping(t, p, to, "x"))
+}
+
+// Guards against an instance that dials a dead peer again on every call.
+func TestFailedDialBacksOff(t *testing.T) {
+	sock, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	to := netip.MustParseAddrPort(sock.Addr().String())
+	require.NoError(t, sock.Close())
+	clock := clockwork.NewFakeClock()
+	p := peer.New(clock, discard{})
+	require.ErrorContains(t, ping(t, p, to, "x"), "refused")
+	require.ErrorContains(t, ping(t, p, to, "x"), "next try in 100ms")
+	clock.Advance(100 * time.Millisecond)
+	require.ErrorContains(t, ping(t, p, to, "x"), "refused")
+	require.ErrorContains(t, ping(t, p, to, "x"), "next try in 200ms")
+}
