lib/plat: find out about writes whose response was lost

Cause: a lost response was an error like any other; a client that retried could apply an edit twice or report an accepted edit as refused. Values from the platform were checked by the generated types only, which do not check the ranges of named types. Change: error classes for conflict, outage, rate limit, invalid value and unknown outcome. A Writer repeats a conditional write with the same tag and reads back until it recognises the edit by its identifier, also among the last eight edits of the table, or a rollout status by its joined content. Values are validated against the schema and for their service; errors name the places. List and Instances are added. goldctl writes through the Writer. Ruled out: recognising only the newest edit (another edit in between turns an accepted edit into a conflict); returning a conflict at once after a doubt (the property test shows an edit reported as refused that took effect).

--- a/core/table/diff.go
+++ b/core/table/diff.go
@@ -25,6 +25,10 @@
 // maxRemovals bounds the removals that a table remembers.
 const maxRemovals = 100
 
+// maxRecent bounds the earlier edits that a table remembers. An author reads back within seconds, in
+// which others make few edits.
+const maxRecent = 8
+
 // Diff returns the changes that lead from the old rows to the new ones, by kind and name.
 func Diff(old, rows []Row) []Change {
 	before := indexRows(old)
@@ -62,6 +66,10 @@
 	out := *t
 	out.Revision++
 	out.Author, out.Edit = author, id
+	if t.Edit != "" {
+		out.Recent = append(slices.Clone(t.Recent), t.Edit)
+		out.Recent = out.Recent[max(0, len(out.Recent)-maxRecent):]
+	}
 	out.Rows = slices.Clone(rows)
 	out.Removed = slices.Clone(t.Removed)
 	before := indexRows(t.Rows)
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -43,6 +43,9 @@
 	Rows     []Row
 	// Removed are the rows that were removed last, oldest first.
 	Removed []Removal
+	// Recent are the edits before this one, oldest first, so that the author of an edit whose response was
+	// lost recognises it after others have edited the table.
+	Recent []ident.EditID
 	// Move is the newest version rollout, or nil when there has been none.
 	Move *Move
 }
--- a/goldctl/internal/cmd/backcmd.go
+++ b/goldctl/internal/cmd/backcmd.go
@@ -59,7 +59,7 @@
 		return nil
 	}
 	next := wire.Status{Attempt: t.Move.Attempt, Outcome: wire.StatusOutcomeReverted, Stage: st.Stage, Reason: "rolled back by " + f.author}
-	if _, err := f.client().Put(ctx, f.statusPath(), tag, &next); err != nil {
+	if err := f.writeStatus(ctx, tag, &next); err != nil {
 		return err
 	}
 	_, _ = fmt.Fprintf(cfg.Out, "%s: rollout %d is rolled back\n", t.Service, next.Attempt)
--- a/goldctl/internal/cmd/platform.go
+++ b/goldctl/internal/cmd/platform.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/table"
 	"goldcreststand.example/lib/cli"
@@ -19,6 +21,9 @@
 // platformTimeout bounds a call of the platform.
 const platformTimeout = 5 * time.Second
 
+// writeTimeout bounds a write with all its tries.
+const writeTimeout = 20 * time.Second
+
 // collectionTables is the platform's collection of routing tables.
 const collectionTables = "tables"
 
@@ -70,10 +75,13 @@
 	return m.Core(), tag, nil
 }
 
-// write stores the table when it still has the tag.
+// write stores the table when it still has the tag. When the platform's response is lost it finds out
+// whether the edit was accepted.
 func (t *target) write(ctx context.Context, tag plat.Tag, tb *table.Table) error {
-	_, err := t.client().Put(ctx, t.path(), tag, wire.FromTable(tb))
-	return err
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	w := plat.NewWriter(t.client(), clockwork.NewRealClock(), plat.JudgeTable)
+	return w.Write(ctx, t.path(), tag, wire.FromTable(tb))
 }
 
 func (t *target) path() string { return plat.ObjectPath(collectionTables, t.service) }
--- a/lib/plat/client.go
+++ b/lib/plat/client.go
@@ -13,20 +13,17 @@
 	"net/url"
 	"time"
 
-	"github.com/zeebo/errs"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/schema/wire"
 )
 
 // MaxValue is the largest value of an object in bytes.
 const MaxValue = 1 << 20
 
-// Errors of this package.
-var (
-	// Error is the class of errors that leave the outcome of a write unknown.
-	Error = errs.Class("platform")
-	// ErrConflict is the class of conditional writes that the platform refused: nothing was written.
-	ErrConflict = errs.Class("platform conflict")
-	// ErrNotFound is the class of reads of objects that do not exist.
-	ErrNotFound = errs.Class("platform object not found")
+// Collections of objects.
+const (
+	CollectionTables = "tables"
+	CollectionMoves  = "moves"
 )
 
 // Tag is the entity tag of one version of an object. The empty tag stands for an absent object.
@@ -48,39 +45,64 @@
 // New returns a client of the platform at the base URL. Each call ends after the timeout, a watch
 // after the timeout and its wait.
 func New(base string, timeout time.Duration, opts ...Option) *Client {
-	c := &Client{base: base, hc: &http.Client{}, timeout: timeout}
+	c := &Client{base: base, hc: &http.Client{Transport: newTransport()}, timeout: timeout}
 	for _, o := range opts {
 		o(c)
 	}
 	return c
 }
 
+// newTransport returns a transport that keeps the connections of all watches of an instance.
+func newTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxIdleConnsPerHost = 64
+	return t
+}
+
 // Get reads the value at the path into v and returns its tag.
 func (c *Client) Get(ctx context.Context, path string, v any) (Tag, error) {
 	tag, _, err := c.read(ctx, path, "", 0, v)
 	return tag, err
 }
 
+// List returns the names of the collection's objects and the list's tag.
+func (c *Client) List(ctx context.Context, collection string) ([]string, Tag, error) {
+	var k wire.Keys
+	tag, err := c.Get(ctx, ListPath(collection), &k)
+	return k.Names, tag, err
+}
+
+// Instances returns the list of the service's backend servers and its tag.
+func (c *Client) Instances(ctx context.Context, service ident.ServiceName) (*wire.Listing, Tag, error) {
+	l := new(wire.Listing)
+	tag, err := c.Get(ctx, InstancesPath(string(service)), l)
+	if err != nil {
+		return nil, "", err
+	}
+	return l, tag, nil
+}
+
 // Watch waits until the value at the path differs from the tag's version, for wait at most. It
 // reports whether there was a change, and then has read the value into v.
 func (c *Client) Watch(ctx context.Context, path string, tag Tag, wait time.Duration, v any) (Tag, bool, error) {
 	return c.read(ctx, path, tag, wait, v)
 }
 
-// Put writes the value when the object still has the tag, and returns the new tag.
+// Put writes the value when the object still has the tag, and returns the new tag. It makes one try;
+// Write follows up on an unknown outcome.
 func (c *Client) Put(ctx context.Context, path string, tag Tag, v any) (Tag, error) {
 	b, err := json.Marshal(v)
 	if err != nil {
-		return "", Error.Wrap(err)
+		return "", ErrInvalid.New("%s: %w", path, err)
 	}
 	if len(b) > MaxValue {
-		return "", ErrConflict.New("value of %s has %d bytes, at most %d are allowed", path, len(b), MaxValue)
+		return "", ErrInvalid.New("%s: value has %d bytes, at most %d are allowed", path, len(b), MaxValue)
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPut, c.base+path, bytes.NewReader(b))
 	if err != nil {
-		return "", Error.Wrap(err)
+		return "", ErrInvalid.New("%s: %w", path, err)
 	}
 	req.Header.Set("Content-Type", "application/json")
 	if tag == "" {
@@ -90,7 +112,10 @@
 	}
 	resp, err := c.hc.Do(req)
 	if err != nil {
-		return "", Error.Wrap(err)
+		if unsent(err) {
+			return "", ErrOutage.Wrap(err)
+		}
+		return "", ErrUnknown.Wrap(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
@@ -99,7 +124,7 @@
 	case http.StatusPreconditionFailed:
 		return "", ErrConflict.New("%s was changed by someone else", path)
 	default:
-		return "", Error.New("write of %s: %s", path, resp.Status)
+		return "", statusError(path, resp, &ErrUnknown)
 	}
 }
 
@@ -108,17 +133,17 @@
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
-		return "", false, Error.Wrap(err)
+		return "", false, ErrInvalid.New("%s: %w", path, err)
 	}
 	if tag != "" {
 		req.Header.Set("If-None-Match", string(tag))
 	}
 	if wait > 0 {
-		req.Header.Set("Prefer", fmt.Sprintf("wait=%d", int(wait/time.Second)))
+		req.Header.Set("Prefer", fmt.Sprintf("wait=%d", max(1, int(wait/time.Second))))
 	}
 	resp, err := c.hc.Do(req)
 	if err != nil {
-		return "", false, Error.Wrap(err)
+		return "", false, ErrOutage.Wrap(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
@@ -128,14 +153,14 @@
 	case http.StatusNotFound:
 		return "", false, ErrNotFound.New("%s", path)
 	default:
-		return "", false, Error.New("read of %s: %s", path, resp.Status)
+		return "", false, statusError(path, resp, &ErrOutage)
 	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, MaxValue+1))
 	if err != nil {
-		return "", false, Error.Wrap(err)
+		return "", false, ErrOutage.Wrap(err)
 	}
-	if err := json.Unmarshal(b, v); err != nil {
-		return "", false, Error.New("value of %s: %w", path, err)
+	if err := decode(path, b, v); err != nil {
+		return "", false, err
 	}
 	return Tag(resp.Header.Get("ETag")), true, nil
 }
@@ -145,5 +170,8 @@
 	return "/objects/" + url.PathEscape(collection) + "/" + url.PathEscape(name)
 }
 
+// ListPath returns the path of the list of a collection's objects.
+func ListPath(collection string) string { return "/objects/" + url.PathEscape(collection) }
+
 // InstancesPath returns the path of the list of a service's backend servers.
 func InstancesPath(service string) string { return "/instances/" + url.PathEscape(service) }
--- a/schema/wire/convert.go
+++ b/schema/wire/convert.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/roster"
 	"goldcreststand.example/core/table"
 )
@@ -16,6 +17,7 @@
 		Author:   t.Author,
 		Rows:     make([]Row, len(t.Rows)),
 		Removed:  make([]Removal, len(t.Removed)),
+		Recent:   t.Recent,
 	}
 	for i, r := range t.Rows {
 		out.Rows[i] = Row{Kind: r.Kind, Name: r.Name, Weight: r.Weight, Limit: r.Limit, State: r.State, Author: r.Author, Changed: r.Changed}
@@ -50,6 +52,7 @@
 		Author:   j.Author,
 		Rows:     make([]table.Row, len(j.Rows)),
 		Removed:  make([]table.Removal, len(j.Removed)),
+		Recent:   j.Recent,
 	}
 	for i, r := range j.Rows {
 		out.Rows[i] = table.Row{Kind: r.Kind, Name: r.Name, Weight: r.Weight, Limit: r.Limit, State: r.State, Author: r.Author, Changed: r.Changed}
@@ -74,3 +77,17 @@
 	}
 	return out
 }
+
+// FromStatus returns the message for a rollout status.
+func FromStatus(s *table.Status) *Status {
+	return &Status{Attempt: s.Attempt, Outcome: StatusOutcome(s.Outcome.String()), Stage: s.Stage, Reason: s.Reason}
+}
+
+// Core returns the status that the message describes, of the service that its key names.
+func (j *Status) Core(n ident.ServiceName) (*table.Status, error) {
+	o, err := table.OutcomeString(string(j.Outcome))
+	if err != nil {
+		return nil, err
+	}
+	return &table.Status{Service: n, Attempt: j.Attempt, Outcome: o, Stage: j.Stage, Reason: j.Reason}, nil
+}
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -13,6 +13,96 @@
 import "time"
 import "unicode/utf8"
 
+// Calls counts the calls of the fake platform since its start.
+type Calls struct {
+	// Calls that an outage failed.
+	Failed int `json:"failed"`
+
+	// Reads of objects that do not wait.
+	Gets int `json:"gets"`
+
+	// Reads of the instance list that do not wait.
+	Instances int `json:"instances"`
+
+	// Calls refused because of a rate limit.
+	Limited int `json:"limited"`
+
+	// Reads of lists of names that do not wait.
+	Lists int `json:"lists"`
+
+	// Watches that wait now.
+	Pending int `json:"pending"`
+
+	// Writes of objects.
+	Puts int `json:"puts"`
+
+	// Reads of objects, lists and instances that may wait.
+	Watches int `json:"watches"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Calls) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["failed"]; raw != nil && !ok {
+		return fmt.Errorf("field failed in Calls: required")
+	}
+	if _, ok := raw["gets"]; raw != nil && !ok {
+		return fmt.Errorf("field gets in Calls: required")
+	}
+	if _, ok := raw["instances"]; raw != nil && !ok {
+		return fmt.Errorf("field instances in Calls: required")
+	}
+	if _, ok := raw["limited"]; raw != nil && !ok {
+		return fmt.Errorf("field limited in Calls: required")
+	}
+	if _, ok := raw["lists"]; raw != nil && !ok {
+		return fmt.Errorf("field lists in Calls: required")
+	}
+	if _, ok := raw["pending"]; raw != nil && !ok {
+		return fmt.Errorf("field pending in Calls: required")
+	}
+	if _, ok := raw["puts"]; raw != nil && !ok {
+		return fmt.Errorf("field puts in Calls: required")
+	}
+	if _, ok := raw["watches"]; raw != nil && !ok {
+		return fmt.Errorf("field watches in Calls: required")
+	}
+	type Plain Calls
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Failed {
+		return fmt.Errorf("field %s: must be >= %v", "failed", 0)
+	}
+	if 0 > plain.Gets {
+		return fmt.Errorf("field %s: must be >= %v", "gets", 0)
+	}
+	if 0 > plain.Instances {
+		return fmt.Errorf("field %s: must be >= %v", "instances", 0)
+	}
+	if 0 > plain.Limited {
+		return fmt.Errorf("field %s: must be >= %v", "limited", 0)
+	}
+	if 0 > plain.Lists {
+		return fmt.Errorf("field %s: must be >= %v", "lists", 0)
+	}
+	if 0 > plain.Pending {
+		return fmt.Errorf("field %s: must be >= %v", "pending", 0)
+	}
+	if 0 > plain.Puts {
+		return fmt.Errorf("field %s: must be >= %v", "puts", 0)
+	}
+	if 0 > plain.Watches {
+		return fmt.Errorf("field %s: must be >= %v", "watches", 0)
+	}
+	*j = Calls(plain)
+	return nil
+}
+
 // Count sums the outcomes of calls of one version on one route.
 type Count struct {
 	// Calls that ended.
@@ -109,11 +199,135 @@
 	return nil
 }
 
-// Fetch is the parameter of the method fetch: it asks for objects newer than the
-// given revisions.
+// Faults sets how the fake platform misbehaves.
+type Faults struct {
+	// Time before each response.
+	Delay ident.Duration `json:"delay"`
+
+	// Age of the instance list.
+	Lag ident.Duration `json:"lag"`
+
+	// Share of writes, in per mille, whose response is lost after the write took
+	// effect.
+	Lost ident.Share `json:"lost"`
+
+	// How calls fail: not at all, with an error at once, or without any response.
+	Outage FaultsOutage `json:"outage"`
+
+	// Largest number of reads per second; 0 sets no limit.
+	Reads int `json:"reads"`
+
+	// Age of the objects that the replica shows.
+	Replica ident.Duration `json:"replica"`
+
+	// Seed of the random choices.
+	Seed int `json:"seed"`
+
+	// Share of reads, in per mille, that go to the replica.
+	Stale ident.Share `json:"stale"`
+
+	// Largest number of writes per second; 0 sets no limit.
+	Writes int `json:"writes"`
+}
+
+type FaultsOutage string
+
+const FaultsOutageError FaultsOutage = "error"
+const FaultsOutageNone FaultsOutage = "none"
+const FaultsOutageSilent FaultsOutage = "silent"
+
+var enumValues_FaultsOutage = []interface{}{
+	"none",
+	"error",
+	"silent",
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *FaultsOutage) UnmarshalJSON(value []byte) error {
+	var v string
+	if err := json.Unmarshal(value, &v); err != nil {
+		return err
+	}
+	var ok bool
+	for _, expected := range enumValues_FaultsOutage {
+		if reflect.DeepEqual(v, expected) {
+			ok = true
+			break
+		}
+	}
+	if !ok {
+		return fmt.Errorf("invalid value (expected one of %#v): %#v", enumValues_FaultsOutage, v)
+	}
+	*j = FaultsOutage(v)
+	return nil
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Faults) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["delay"]; raw != nil && !ok {
+		return fmt.Errorf("field delay in Faults: required")
+	}
+	if _, ok := raw["lag"]; raw != nil && !ok {
+		return fmt.Errorf("field lag in Faults: required")
+	}
+	if _, ok := raw["lost"]; raw != nil && !ok {
+		return fmt.Errorf("field lost in Faults: required")
+	}
+	if _, ok := raw["outage"]; raw != nil && !ok {
+		return fmt.Errorf("field outage in Faults: required")
+	}
+	if _, ok := raw["reads"]; raw != nil && !ok {
+		return fmt.Errorf("field reads in Faults: required")
+	}
+	if _, ok := raw["replica"]; raw != nil && !ok {
+		return fmt.Errorf("field replica in Faults: required")
+	}
+	if _, ok := raw["seed"]; raw != nil && !ok {
+		return fmt.Errorf("field seed in Faults: required")
+	}
+	if _, ok := raw["stale"]; raw != nil && !ok {
+		return fmt.Errorf("field stale in Faults: required")
+	}
+	if _, ok := raw["writes"]; raw != nil && !ok {
+		return fmt.Errorf("field writes in Faults: required")
+	}
+	type Plain Faults
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Reads {
+		return fmt.Errorf("field %s: must be >= %v", "reads", 0)
+	}
+	if 0 > plain.Seed {
+		return fmt.Errorf("field %s: must be >= %v", "seed", 0)
+	}
+	if 0 > plain.Writes {
+		return fmt.Errorf("field %s: must be >= %v", "writes", 0)
+	}
+	*j = Faults(plain)
+	return nil
+}
+
+// Fetch is the parameter of the method fetch: it tells of revisions and asks for
+// objects newer than the given revisions.
 type Fetch struct {
-	// Keys with the revision that the sender holds.
+	// Parts of the sender's digest, in hexadecimal; asks for the revisions in the
+	// parts that differ.
+	Buckets []string `json:"buckets,omitempty,omitzero"`
+
+	// Objects that are asked for, with the revision that the sender holds.
 	Held []Held `json:"held"`
+
+	// Revisions that the sender learned.
+	News []Held `json:"news,omitempty,omitzero"`
+
+	// Identifier of the sender.
+	Sender ident.InstanceID `json:"sender"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -125,13 +339,22 @@
 	if _, ok := raw["held"]; raw != nil && !ok {
 		return fmt.Errorf("field held in Fetch: required")
 	}
+	if _, ok := raw["sender"]; raw != nil && !ok {
+		return fmt.Errorf("field sender in Fetch: required")
+	}
 	type Plain Fetch
 	var plain Plain
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
-	if len(plain.Held) > 256 {
-		return fmt.Errorf("field %s length: must be <= %d", "held", 256)
+	if len(plain.Buckets) > 16 {
+		return fmt.Errorf("field %s length: must be <= %d", "buckets", 16)
+	}
+	if len(plain.Held) > 16 {
+		return fmt.Errorf("field %s length: must be <= %d", "held", 16)
+	}
+	if len(plain.News) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "news", 64)
 	}
 	*j = Fetch(plain)
 	return nil
@@ -139,6 +362,9 @@
 
 // Fetched is the result of the method fetch.
 type Fetched struct {
+	// Revisions in the parts of the digest that differ.
+	Held []Held `json:"held,omitempty,omitzero"`
+
 	// Newer server lists.
 	Listings []Listing `json:"listings"`
 
@@ -169,6 +395,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if len(plain.Held) > 4000 {
+		return fmt.Errorf("field %s length: must be <= %d", "held", 4000)
+	}
 	*j = Fetched(plain)
 	return nil
 }
@@ -914,6 +1143,9 @@
 	// Move corresponds to the JSON schema field "move".
 	Move *Move `json:"move,omitempty,omitzero"`
 
+	// Identifiers of the edits before this one, oldest first.
+	Recent []ident.EditID `json:"recent,omitempty,omitzero"`
+
 	// Rows that were removed last, oldest first.
 	Removed []Removal `json:"removed"`
 
@@ -962,6 +1194,9 @@
 	if utf8.RuneCountInString(string(plain.Author)) > 64 {
 		return fmt.Errorf("field %s length: must be <= %d", "author", 64)
 	}
+	if len(plain.Recent) > 8 {
+		return fmt.Errorf("field %s length: must be <= %d", "recent", 8)
+	}
 	if len(plain.Removed) > 100 {
 		return fmt.Errorf("field %s length: must be <= %d", "removed", 100)
 	}
