--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -13,96 +13,6 @@
 import "time"
 import "unicode/utf8"
 
-// Calls counts the calls of the fake platform since its start.
-type Calls struct {
-	// Calls that an outage failed.
-	Failed int `json:"failed"`
-
-	// Reads of objects that do not wait.
-	Gets int `json:"gets"`
-
-	// Reads of the instance list that do not wait.
-	Instances int `json:"instances"`
-
-	// Calls refused because of a rate limit.
-	Limited int `json:"limited"`
-
-	// Reads of lists of names that do not wait.
-	Lists int `json:"lists"`
-
-	// Watches that wait now.
-	Pending int `json:"pending"`
-
-	// Writes of objects.
-	Puts int `json:"puts"`
-
-	// Reads of objects, lists and instances that may wait.
-	Watches int `json:"watches"`
-}
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (j *Calls) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["failed"]; raw != nil && !ok {
-		return fmt.Errorf("field failed in Calls: required")
-	}
-	if _, ok := raw["gets"]; raw != nil && !ok {
-		return fmt.Errorf("field gets in Calls: required")
-	}
-	if _, ok := raw["instances"]; raw != nil && !ok {
-		return fmt.Errorf("field instances in Calls: required")
-	}
-	if _, ok := raw["limited"]; raw != nil && !ok {
-		return fmt.Errorf("field limited in Calls: required")
-	}
-	if _, ok := raw["lists"]; raw != nil && !ok {
-		return fmt.Errorf("field lists in Calls: required")
-	}
-	if _, ok := raw["pending"]; raw != nil && !ok {
-		return fmt.Errorf("field pending in Calls: required")
-	}
-	if _, ok := raw["puts"]; raw != nil && !ok {
-		return fmt.Errorf("field puts in Calls: required")
-	}
-	if _, ok := raw["watches"]; raw != nil && !ok {
-		return fmt.Errorf("field watches in Calls: required")
-	}
-	type Plain Calls
-	var plain Plain
-	if err := json.Unmarshal(value, &plain); err != nil {
-		return err
-	}
-	if 0 > plain.Failed {
-		return fmt.Errorf("field %s: must be >= %v", "failed", 0)
-	}
-	if 0 > plain.Gets {
-		return fmt.Errorf("field %s: must be >= %v", "gets", 0)
-	}
-	if 0 > plain.Instances {
-		return fmt.Errorf("field %s: must be >= %v", "instances", 0)
-	}
-	if 0 > plain.Limited {
-		return fmt.Errorf("field %s: must be >= %v", "limited", 0)
-	}
-	if 0 > plain.Lists {
-		return fmt.Errorf("field %s: must be >= %v", "lists", 0)
-	}
-	if 0 > plain.Pending {
-		return fmt.Errorf("field %s: must be >= %v", "pending", 0)
-	}
-	if 0 > plain.Puts {
-		return fmt.Errorf("field %s: must be >= %v", "puts", 0)
-	}
-	if 0 > plain.Watches {
-		return fmt.Errorf("field %s: must be >= %v", "watches", 0)
-	}
-	*j = Calls(plain)
-	return nil
-}
-
 // Count sums the outcomes of calls of one version on one route.
 type Count struct {
 	// Calls that ended.
@@ -199,115 +109,65 @@
 	return nil
 }
 
-// Faults sets how the fake platform misbehaves.
+// Faults sets how a fake backend server misbehaves; what is left out is off.
 type Faults struct {
-	// Time before each response.
-	Delay ident.Duration `json:"delay"`
+	// Calls in flight above which slow and fail apply.
+	Above *ident.Slots `json:"above,omitempty,omitzero"`
 
-	// Age of the instance list.
-	Lag ident.Duration `json:"lag"`
+	// Time after which slow and fail begin.
+	After *ident.Duration `json:"after,omitempty,omitzero"`
 
-	// Share of writes, in per mille, whose response is lost after the write took
-	// effect.
-	Lost ident.Share `json:"lost"`
+	// Calls in flight that are reported in place of the true number.
+	Claim *ident.Slots `json:"claim,omitempty,omitzero"`
 
-	// How calls fail: not at all, with an error at once, or without any response.
-	Outage FaultsOutage `json:"outage"`
+	// Calls whose request is read and whose connection is then closed, in per mille.
+	Close *ident.Share `json:"close,omitempty,omitzero"`
 
-	// Largest number of reads per second; 0 sets no limit.
-	Reads int `json:"reads"`
+	// Whether the server starts cold: with one slot, more after completed calls.
+	Cold *bool `json:"cold,omitempty,omitzero"`
 
-	// Age of the objects that the replica shows.
-	Replica ident.Duration `json:"replica"`
+	// Calls whose response is sent in place of the next response on the connection,
+	// in per mille.
+	Crossed *ident.Share `json:"crossed,omitempty,omitzero"`
 
-	// Seed of the random choices.
-	Seed int `json:"seed"`
+	// Whether the server is draining.
+	Drain *bool `json:"drain,omitempty,omitzero"`
 
-	// Share of reads, in per mille, that go to the replica.
-	Stale ident.Share `json:"stale"`
+	// Calls that fail at once with 500, in per mille.
+	Fail *ident.Share `json:"fail,omitempty,omitzero"`
 
-	// Largest number of writes per second; 0 sets no limit.
-	Writes int `json:"writes"`
-}
+	// Age of the reported load.
+	Lag *ident.Duration `json:"lag,omitempty,omitzero"`
 
-type FaultsOutage string
+	// Calls whose response is sent after the deadline in Request-Timeout, in per
+	// mille.
+	Late *ident.Share `json:"late,omitempty,omitzero"`
 
-const FaultsOutageError FaultsOutage = "error"
-const FaultsOutageNone FaultsOutage = "none"
-const FaultsOutageSilent FaultsOutage = "silent"
+	// Route to which slow and fail are limited.
+	Route *ident.RouteName `json:"route,omitempty,omitzero"`
 
-var enumValues_FaultsOutage = []interface{}{
-	"none",
-	"error",
-	"silent",
-}
+	// Calls that are rejected with the load-shedding signal, in per mille.
+	Shed *ident.Share `json:"shed,omitempty,omitzero"`
 
-// UnmarshalJSON implements json.Unmarshaler.
-func (j *FaultsOutage) UnmarshalJSON(value []byte) error {
-	var v string
-	if err := json.Unmarshal(value, &v); err != nil {
-		return err
-	}
-	var ok bool
-	for _, expected := range enumValues_FaultsOutage {
-		if reflect.DeepEqual(v, expected) {
-			ok = true
-			break
-		}
-	}
-	if !ok {
-		return fmt.Errorf("invalid value (expected one of %#v): %#v", enumValues_FaultsOutage, v)
-	}
-	*j = FaultsOutage(v)
-	return nil
+	// Whether the connections that are open now go quiet for good; new ones work.
+	Silent *bool `json:"silent,omitempty,omitzero"`
+
+	// Factor on the time that a call takes; 0 counts as 1.
+	Slow *float64 `json:"slow,omitempty,omitzero"`
+
+	// Calls whose response is truncated, in per mille.
+	Truncate *ident.Share `json:"truncate,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Faults) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["delay"]; raw != nil && !ok {
-		return fmt.Errorf("field delay in Faults: required")
-	}
-	if _, ok := raw["lag"]; raw != nil && !ok {
-		return fmt.Errorf("field lag in Faults: required")
-	}
-	if _, ok := raw["lost"]; raw != nil && !ok {
-		return fmt.Errorf("field lost in Faults: required")
-	}
-	if _, ok := raw["outage"]; raw != nil && !ok {
-		return fmt.Errorf("field outage in Faults: required")
-	}
-	if _, ok := raw["reads"]; raw != nil && !ok {
-		return fmt.Errorf("field reads in Faults: required")
-	}
-	if _, ok := raw["replica"]; raw != nil && !ok {
-		return fmt.Errorf("field replica in Faults: required")
-	}
-	if _, ok := raw["seed"]; raw != nil && !ok {
-		return fmt.Errorf("field seed in Faults: required")
-	}
-	if _, ok := raw["stale"]; raw != nil && !ok {
-		return fmt.Errorf("field stale in Faults: required")
-	}
-	if _, ok := raw["writes"]; raw != nil && !ok {
-		return fmt.Errorf("field writes in Faults: required")
-	}
 	type Plain Faults
 	var plain Plain
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
-	if 0 > plain.Reads {
-		return fmt.Errorf("field %s: must be >= %v", "reads", 0)
-	}
-	if 0 > plain.Seed {
-		return fmt.Errorf("field %s: must be >= %v", "seed", 0)
-	}
-	if 0 > plain.Writes {
-		return fmt.Errorf("field %s: must be >= %v", "writes", 0)
+	if plain.Slow != nil && 0 > *plain.Slow {
+		return fmt.Errorf("field %s: must be >= %v", "slow", 0)
 	}
 	*j = Faults(plain)
 	return nil
@@ -734,6 +594,210 @@
 	return nil
 }
 
+// PlatformCalls counts the calls of the fake platform since its start.
+type PlatformCalls struct {
+	// Calls that an outage failed.
+	Failed int `json:"failed"`
+
+	// Reads of objects that do not wait.
+	Gets int `json:"gets"`
+
+	// Reads of the instance list that do not wait.
+	Instances int `json:"instances"`
+
+	// Calls refused because of a rate limit.
+	Limited int `json:"limited"`
+
+	// Reads of lists of names that do not wait.
+	Lists int `json:"lists"`
+
+	// Watches that wait now.
+	Pending int `json:"pending"`
+
+	// Writes of objects.
+	Puts int `json:"puts"`
+
+	// Reads of objects, lists and instances that may wait.
+	Watches int `json:"watches"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *PlatformCalls) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["failed"]; raw != nil && !ok {
+		return fmt.Errorf("field failed in PlatformCalls: required")
+	}
+	if _, ok := raw["gets"]; raw != nil && !ok {
+		return fmt.Errorf("field gets in PlatformCalls: required")
+	}
+	if _, ok := raw["instances"]; raw != nil && !ok {
+		return fmt.Errorf("field instances in PlatformCalls: required")
+	}
+	if _, ok := raw["limited"]; raw != nil && !ok {
+		return fmt.Errorf("field limited in PlatformCalls: required")
+	}
+	if _, ok := raw["lists"]; raw != nil && !ok {
+		return fmt.Errorf("field lists in PlatformCalls: required")
+	}
+	if _, ok := raw["pending"]; raw != nil && !ok {
+		return fmt.Errorf("field pending in PlatformCalls: required")
+	}
+	if _, ok := raw["puts"]; raw != nil && !ok {
+		return fmt.Errorf("field puts in PlatformCalls: required")
+	}
+	if _, ok := raw["watches"]; raw != nil && !ok {
+		return fmt.Errorf("field watches in PlatformCalls: required")
+	}
+	type Plain PlatformCalls
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Failed {
+		return fmt.Errorf("field %s: must be >= %v", "failed", 0)
+	}
+	if 0 > plain.Gets {
+		return fmt.Errorf("field %s: must be >= %v", "gets", 0)
+	}
+	if 0 > plain.Instances {
+		return fmt.Errorf("field %s: must be >= %v", "instances", 0)
+	}
+	if 0 > plain.Limited {
+		return fmt.Errorf("field %s: must be >= %v", "limited", 0)
+	}
+	if 0 > plain.Lists {
+		return fmt.Errorf("field %s: must be >= %v", "lists", 0)
+	}
+	if 0 > plain.Pending {
+		return fmt.Errorf("field %s: must be >= %v", "pending", 0)
+	}
+	if 0 > plain.Puts {
+		return fmt.Errorf("field %s: must be >= %v", "puts", 0)
+	}
+	if 0 > plain.Watches {
+		return fmt.Errorf("field %s: must be >= %v", "watches", 0)
+	}
+	*j = PlatformCalls(plain)
+	return nil
+}
+
+// PlatformFaults sets how the fake platform misbehaves.
+type PlatformFaults struct {
+	// Time before each response.
+	Delay ident.Duration `json:"delay"`
+
+	// Age of the instance list.
+	Lag ident.Duration `json:"lag"`
+
+	// Share of writes, in per mille, whose response is lost after the write took
+	// effect.
+	Lost ident.Share `json:"lost"`
+
+	// How calls fail: not at all, with an error at once, or without any response.
+	Outage PlatformFaultsOutage `json:"outage"`
+
+	// Largest number of reads per second; 0 sets no limit.
+	Reads int `json:"reads"`
+
+	// Age of the objects that the replica shows.
+	Replica ident.Duration `json:"replica"`
+
+	// Seed of the random choices.
+	Seed int `json:"seed"`
+
+	// Share of reads, in per mille, that go to the replica.
+	Stale ident.Share `json:"stale"`
+
+	// Largest number of writes per second; 0 sets no limit.
+	Writes int `json:"writes"`
+}
+
+type PlatformFaultsOutage string
+
+const PlatformFaultsOutageError PlatformFaultsOutage = "error"
+const PlatformFaultsOutageNone PlatformFaultsOutage = "none"
+const PlatformFaultsOutageSilent PlatformFaultsOutage = "silent"
+
+var enumValues_PlatformFaultsOutage = []interface{}{
+	"none",
+	"error",
+	"silent",
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *PlatformFaultsOutage) UnmarshalJSON(value []byte) error {
+	var v string
+	if err := json.Unmarshal(value, &v); err != nil {
+		return err
+	}
+	var ok bool
+	for _, expected := range enumValues_PlatformFaultsOutage {
+		if reflect.DeepEqual(v, expected) {
+			ok = true
+			break
+		}
+	}
+	if !ok {
+		return fmt.Errorf("invalid value (expected one of %#v): %#v", enumValues_PlatformFaultsOutage, v)
+	}
+	*j = PlatformFaultsOutage(v)
+	return nil
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *PlatformFaults) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["delay"]; raw != nil && !ok {
+		return fmt.Errorf("field delay in PlatformFaults: required")
+	}
+	if _, ok := raw["lag"]; raw != nil && !ok {
+		return fmt.Errorf("field lag in PlatformFaults: required")
+	}
+	if _, ok := raw["lost"]; raw != nil && !ok {
+		return fmt.Errorf("field lost in PlatformFaults: required")
+	}
+	if _, ok := raw["outage"]; raw != nil && !ok {
+		return fmt.Errorf("field outage in PlatformFaults: required")
+	}
+	if _, ok := raw["reads"]; raw != nil && !ok {
+		return fmt.Errorf("field reads in PlatformFaults: required")
+	}
+	if _, ok := raw["replica"]; raw != nil && !ok {
+		return fmt.Errorf("field replica in PlatformFaults: required")
+	}
+	if _, ok := raw["seed"]; raw != nil && !ok {
+		return fmt.Errorf("field seed in PlatformFaults: required")
+	}
+	if _, ok := raw["stale"]; raw != nil && !ok {
+		return fmt.Errorf("field stale in PlatformFaults: required")
+	}
+	if _, ok := raw["writes"]; raw != nil && !ok {
+		return fmt.Errorf("field writes in PlatformFaults: required")
+	}
+	type Plain PlatformFaults
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Reads {
+		return fmt.Errorf("field %s: must be >= %v", "reads", 0)
+	}
+	if 0 > plain.Seed {
+		return fmt.Errorf("field %s: must be >= %v", "seed", 0)
+	}
+	if 0 > plain.Writes {
+		return fmt.Errorf("field %s: must be >= %v", "writes", 0)
+	}
+	*j = PlatformFaults(plain)
+	return nil
+}
+
 // Pong is the result of the method ping.
 type Pong struct {
 	// Hash over all held objects, in hexadecimal.
@@ -1207,6 +1271,78 @@
 	return nil
 }
 
+// Tally counts what one fake backend server, or all of them, did.
+type Tally struct {
+	// Connections that were accepted.
+	Connections int `json:"connections"`
+
+	// Calls that were executed.
+	Executed int `json:"executed"`
+
+	// Connections that were closed because the server held too many.
+	Overflow int `json:"overflow"`
+
+	// Largest number of calls in flight at one server.
+	Peak int `json:"peak"`
+
+	// Executions of a request id beyond its first one, over all servers.
+	Repeated int `json:"repeated"`
+
+	// Calls that began while all slots were in use.
+	Violations int `json:"violations"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Tally) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["connections"]; raw != nil && !ok {
+		return fmt.Errorf("field connections in Tally: required")
+	}
+	if _, ok := raw["executed"]; raw != nil && !ok {
+		return fmt.Errorf("field executed in Tally: required")
+	}
+	if _, ok := raw["overflow"]; raw != nil && !ok {
+		return fmt.Errorf("field overflow in Tally: required")
+	}
+	if _, ok := raw["peak"]; raw != nil && !ok {
+		return fmt.Errorf("field peak in Tally: required")
+	}
+	if _, ok := raw["repeated"]; raw != nil && !ok {
+		return fmt.Errorf("field repeated in Tally: required")
+	}
+	if _, ok := raw["violations"]; raw != nil && !ok {
+		return fmt.Errorf("field violations in Tally: required")
+	}
+	type Plain Tally
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Connections {
+		return fmt.Errorf("field %s: must be >= %v", "connections", 0)
+	}
+	if 0 > plain.Executed {
+		return fmt.Errorf("field %s: must be >= %v", "executed", 0)
+	}
+	if 0 > plain.Overflow {
+		return fmt.Errorf("field %s: must be >= %v", "overflow", 0)
+	}
+	if 0 > plain.Peak {
+		return fmt.Errorf("field %s: must be >= %v", "peak", 0)
+	}
+	if 0 > plain.Repeated {
+		return fmt.Errorf("field %s: must be >= %v", "repeated", 0)
+	}
+	if 0 > plain.Violations {
+		return fmt.Errorf("field %s: must be >= %v", "violations", 0)
+	}
+	*j = Tally(plain)
+	return nil
+}
+
 // View is what one instance reports of itself to operators.
 type View struct {
 	// Failure domain of the instance.
