goldcreststand, fakeplatform: distribute through the core, and faults set over HTTP

Cause: each instance watched the catalogue, every table and every list itself; the stand-in of the platform could not misbehave. Change: goldcreststand/watch carries out the watches and stores that core/dist asks for, fetch carries the method fetch between instances, ctrl hands events to the core and knows services whose table it does not keep. fakeplatform takes outages, delays, lost responses, rate limits, a list that lags and a replica that lags over PUT /control/faults, and counts calls for GET /control/calls. Open: heartbeats do not carry held revisions yet, because membership is not in control yet.

--- a/core/dist/core.go
+++ b/core/dist/core.go
@@ -275,6 +275,9 @@
 	e.object, e.newest = &o, o.Revision
 	e.ask.tries = 0
 	c.do(Adopt{Object: o})
+	if o.Key.Kind == KindTable && c.moves(o.Key.Service()) {
+		c.hurryStatus(o.Key.Service())
+	}
 	return fresh
 }
 
--- a/core/dist/dist_test.go
+++ b/core/dist/dist_test.go
@@ -201,3 +201,15 @@
 	}
 	require.Equal(t, ident.ServiceName("a"), dist.TableKey("a").Service())
 }
+
+// Guards against an operator's rollback that is noticed late because no rollout status existed before.
+func TestRollbackByOperatorIsSeenWithinSeconds(t *testing.T) {
+	s := newSim(1, 8, 2)
+	s.advance(time.Minute)
+	s.write(dist.FromTable(&table.Table{Service: service(0), Revision: 2, Move: &table.Move{Attempt: 1}}))
+	s.advance(time.Minute)
+	st := &table.Status{Service: service(0), Attempt: 1, Outcome: table.OutcomeReverted}
+	s.write(dist.FromStatus(st))
+	s.advance(2500 * time.Millisecond)
+	require.Empty(t, s.behind(dist.StatusKey(service(0)), st.Revision()))
+}
--- a/core/dist/watch.go
+++ b/core/dist/watch.go
@@ -123,6 +123,21 @@
 	w.tag, w.revision, w.failures, w.due = tag, r, 0, c.now
 }
 
+// moves reports whether the service's routing table asks for a version rollout. Until then nobody creates
+// a rollout status; from then on an operator may roll back at any time.
+func (c *Core) moves(s ident.ServiceName) bool {
+	e, ok := c.entries[TableKey(s)]
+	return ok && e.object != nil && e.object.Table != nil && e.object.Table.Move != nil
+}
+
+// hurryStatus reads an absent rollout status soon, because a rollout has been asked for.
+func (c *Core) hurryStatus(s ident.ServiceName) {
+	e, ok := c.entries[StatusKey(s)]
+	if ok && e.watch != nil && !e.watch.pending && e.watch.due.After(c.now.Add(c.cfg.Cap)) {
+		e.watch.due = c.now.Add(c.jitter(c.cfg.Base))
+	}
+}
+
 func (c *Core) delayWatch(e *entry) {
 	e.watch.failures++
 	e.watch.due = c.now.Add(c.backoff(e.watch.failures, c.cfg.Cap))
@@ -163,8 +178,7 @@
 		c.missed()
 	case FailureAbsent:
 		c.reached()
-		if ev.Key.Kind == KindStatus {
-			// Only instances create statuses, and they tell each other, so there is no hurry.
+		if ev.Key.Kind == KindStatus && !c.moves(ev.Key.Service()) {
 			e.watch.due = c.now.Add(c.cfg.AbsentDelay/2 + c.jitter(c.cfg.AbsentDelay/2))
 			return
 		}
--- a/fakeplatform/internal/cmd/servecmd.go
+++ b/fakeplatform/internal/cmd/servecmd.go
@@ -9,6 +9,9 @@
 	"net/http"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
+	"goldcreststand.example/fakeplatform/internal/fault"
 	"goldcreststand.example/fakeplatform/internal/store"
 	"goldcreststand.example/lib/cli"
 )
@@ -35,7 +38,8 @@
 		return err
 	}
 	_, _ = fmt.Fprintf(cfg.Out, "fakeplatform: listening on %s\n", l.Addr())
-	srv := &http.Server{Handler: store.NewHandler(store.New()), ReadHeaderTimeout: time.Minute}
+	clock := clockwork.NewRealClock()
+	srv := &http.Server{Handler: store.NewHandler(store.New(clock), clock, fault.New(clock)), ReadHeaderTimeout: time.Minute}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/fakeplatform/internal/store/handler.go
+++ b/fakeplatform/internal/store/handler.go
@@ -10,7 +10,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
 	"github.com/labstack/echo/v4"
+
+	"goldcreststand.example/fakeplatform/internal/fault"
+	"goldcreststand.example/schema/wire"
 )
 
 // Sizes and times of the HTTP interface.
@@ -19,55 +23,72 @@
 	maxValue = 1 << 20
 	// maxWait is the longest wait of a watch.
 	maxWait = 60 * time.Second
+	// lookInterval is the time between two looks of a watch that reads a replica that lags.
+	lookInterval = 50 * time.Millisecond
 	// instances is the collection behind the instance list.
 	instances = "instances"
 )
 
 type handler struct {
-	store *Store
+	store  *Store
+	clock  clockwork.Clock
+	faults *fault.Injector
 }
 
-// NewHandler returns the HTTP interface of a store.
-func NewHandler(s *Store) http.Handler {
-	h := &handler{store: s}
+// NewHandler returns the HTTP interface of a store: the platform's, and under /control that of tests.
+func NewHandler(s *Store, clock clockwork.Clock, faults *fault.Injector) http.Handler {
+	h := &handler{store: s, clock: clock, faults: faults}
 	e := echo.New()
-	e.GET("/objects/:collection", h.list)
-	e.GET("/objects/:collection/:name", h.get)
-	e.PUT("/objects/:collection/:name", h.put)
-	e.GET("/instances/:name", h.getInstances)
+	e.GET("/objects/:collection", h.list, faults.Middleware)
+	e.GET("/objects/:collection/:name", h.get, faults.Middleware)
+	e.PUT("/objects/:collection/:name", h.put, faults.Middleware)
+	e.GET("/instances/:name", h.getInstances, faults.Middleware)
 	e.PUT("/control/instances/:name", h.setInstances)
+	e.PUT("/control/faults", h.setFaults)
+	e.GET("/control/calls", func(c echo.Context) error { return c.JSON(http.StatusOK, faults.Calls()) })
 	return e
 }
 
+func (h *handler) setFaults(c echo.Context) error {
+	var f wire.PlatformFaults
+	if err := json.NewDecoder(c.Request().Body).Decode(&f); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	h.faults.Set(f)
+	return c.NoContent(http.StatusNoContent)
+}
+
 func (h *handler) get(c echo.Context) error {
-	return h.serve(c, Key{Collection: c.Param("collection"), Name: c.Param("name")})
+	return h.serve(c, Key{Collection: c.Param("collection"), Name: c.Param("name")}, h.faults.Age())
 }
 
 func (h *handler) getInstances(c echo.Context) error {
-	return h.serve(c, Key{Collection: instances, Name: c.Param("name")})
+	return h.serve(c, Key{Collection: instances, Name: c.Param("name")}, h.faults.Lag())
 }
 
-func (h *handler) serve(c echo.Context, k Key) error {
-	return h.watch(c, func() (string, []byte, <-chan struct{}, bool) {
-		o, changed, err := h.store.Get(k)
+func (h *handler) serve(c echo.Context, k Key, age time.Duration) error {
+	return h.watch(c, age, func() (string, []byte, <-chan struct{}, bool) {
+		o, changed, err := h.store.Get(k, age)
 		return tagOf(o.Version), o.Value, changed, err == nil
 	})
 }
 
 func (h *handler) list(c echo.Context) error {
-	return h.watch(c, func() (string, []byte, <-chan struct{}, bool) {
-		names, changed := h.store.Names(c.Param("collection"))
+	age := h.faults.Age()
+	return h.watch(c, age, func() (string, []byte, <-chan struct{}, bool) {
+		names, changed := h.store.Names(c.Param("collection"), age)
 		b, err := json.Marshal(map[string][]string{"names": names})
 		return fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(b), 16)), b, changed, err == nil
 	})
 }
 
 // watch answers with the value that read returns, once its tag differs from the If-None-Match
-// header or the wait of the Prefer header is over.
-func (h *handler) watch(c echo.Context, read func() (string, []byte, <-chan struct{}, bool)) error {
+// header or the wait of the Prefer header is over. A write shows after the age of what is read.
+func (h *handler) watch(c echo.Context, age time.Duration, read func() (string, []byte, <-chan struct{}, bool)) error {
 	old := c.Request().Header.Get("If-None-Match")
-	timer := time.NewTimer(waitOf(c.Request().Header.Get("Prefer")))
-	defer timer.Stop()
+	over := h.clock.After(waitOf(c.Request().Header.Get("Prefer")))
+	h.faults.Count(func(n *wire.PlatformCalls) { n.Pending++ })
+	defer h.faults.Count(func(n *wire.PlatformCalls) { n.Pending-- })
 	for {
 		tag, value, changed, ok := read()
 		if !ok && old == "" {
@@ -77,9 +98,19 @@
 			c.Response().Header().Set("ETag", tag)
 			return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, value)
 		}
+		var look <-chan time.Time
+		if age > 0 {
+			look = h.clock.After(lookInterval)
+		}
+		_, faults := h.faults.Outage()
 		select {
 		case <-changed:
-		case <-timer.C:
+		case <-look:
+		case <-faults:
+			if err := h.faults.CheckOutage(c); err != nil {
+				return err
+			}
+		case <-over:
 			return c.NoContent(http.StatusNotModified)
 		case <-c.Request().Context().Done():
 			return c.Request().Context().Err()
--- a/fakeplatform/internal/store/store.go
+++ b/fakeplatform/internal/store/store.go
@@ -1,10 +1,13 @@
-// Package store is an object store in memory with versions, conditional updates and watches.
+// Package store is an object store in memory with versions, conditional updates and watches. It keeps
+// recent versions, so that a replica that lags can be shown.
 package store
 
 import (
 	"slices"
 	"sync"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/errs"
 )
 
@@ -19,6 +22,9 @@
 // Absent is the version of an object that does not exist.
 const Absent Version = 0
 
+// MaxAge is the largest age of a version that a read can ask for.
+const MaxAge = time.Minute
+
 // Key names an object.
 type Key struct {
 	Collection string
@@ -32,41 +38,47 @@
 type Object struct {
 	Version Version
 	Value   []byte
+	written time.Time
 }
 
 // Store holds objects.
 type Store struct {
-	mu      sync.Mutex
-	last    Version
-	objects map[Key]Object
+	clock clockwork.Clock
+	mu    sync.Mutex
+	last  Version
+	// objects holds the versions of each object in their order.
+	objects map[Key][]Object
 	// changed is closed and replaced at each write.
 	changed chan struct{}
 }
 
 // New returns an empty store.
-func New() *Store {
-	return &Store{objects: make(map[Key]Object), changed: make(chan struct{})}
+func New(clock clockwork.Clock) *Store {
+	return &Store{clock: clock, objects: make(map[Key][]Object), changed: make(chan struct{})}
 }
 
-// Get returns the object and a channel that is closed at the next write of the store.
-func (s *Store) Get(k Key) (Object, <-chan struct{}, error) {
+// Get returns the object as it was age ago and a channel that is closed at the next write of the store.
+func (s *Store) Get(k Key, age time.Duration) (Object, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o, ok := s.objects[k]
-	if !ok {
-		return Object{}, s.changed, ErrNotFound.New("%s/%s", k.Collection, k.Name)
+	at := s.clock.Now().Add(-age)
+	for _, o := range slices.Backward(s.objects[k]) {
+		if !o.written.After(at) {
+			return o, s.changed, nil
+		}
 	}
-	return o, s.changed, nil
+	return Object{}, s.changed, ErrNotFound.New("%s/%s", k.Collection, k.Name)
 }
 
-// Names returns the sorted names of the collection's objects, the version of its newest object, and
-// a channel that is closed at the next write of the store.
-func (s *Store) Names(collection string) ([]string, <-chan struct{}) {
+// Names returns the sorted names of the collection's objects as they were age ago, and a channel that is
+// closed at the next write of the store.
+func (s *Store) Names(collection string, age time.Duration) ([]string, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	at := s.clock.Now().Add(-age)
 	names := make([]string, 0, len(s.objects))
-	for k := range s.objects {
-		if k.Collection == collection {
+	for k, os := range s.objects {
+		if k.Collection == collection && !os[0].written.After(at) {
 			names = append(names, k.Name)
 		}
 	}
@@ -78,7 +90,11 @@
 func (s *Store) Put(k Key, expect Version, value []byte) (Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if have := s.objects[k].Version; have != expect {
+	have := Absent
+	if os := s.objects[k]; len(os) > 0 {
+		have = os[len(os)-1].Version
+	}
+	if have != expect {
 		return 0, ErrConflict.New("%s/%s has version %d, not %d", k.Collection, k.Name, have, expect)
 	}
 	return s.put(k, value), nil
@@ -93,7 +109,12 @@
 
 func (s *Store) put(k Key, value []byte) Version {
 	s.last++
-	s.objects[k] = Object{Version: s.last, Value: slices.Clone(value)}
+	now := s.clock.Now()
+	os := s.objects[k]
+	for len(os) > 1 && now.Sub(os[1].written) > MaxAge {
+		os = os[1:]
+	}
+	s.objects[k] = append(slices.Clone(os), Object{Version: s.last, Value: slices.Clone(value), written: now})
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.last
--- a/goldcreststand/internal/cmd/servecmd.go
+++ b/goldcreststand/internal/cmd/servecmd.go
@@ -3,16 +3,19 @@
 import (
 	"context"
 	"flag"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"goldcreststand.example/core/dist"
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/route"
 	"goldcreststand.example/goldcreststand/internal/admin"
 	"goldcreststand.example/goldcreststand/internal/ctrl"
+	"goldcreststand.example/goldcreststand/internal/fetch"
 	"goldcreststand.example/goldcreststand/internal/peer"
 	"goldcreststand.example/goldcreststand/internal/proxy"
 	"goldcreststand.example/goldcreststand/internal/watch"
@@ -49,14 +52,17 @@
 		return err
 	}
 	clock := clockwork.NewRealClock()
-	w := watch.New(plat.New(s.Platform.URL, s.Platform.Timeout.Std()), s.Platform.Wait.Std(), clock, logs.Part(log, "watch"))
-	loop := ctrl.New(ctrl.Self{ID: s.Name, Domain: s.Domain, Traffic: s.Traffic.Address, Count: s.Place.Count}, clock, boot.Clock{}, &executor{watcher: w})
+	w := watch.New(plat.New(s.Platform.URL, s.Platform.Timeout.Std()), clock, logs.Part(log, "watch"))
+	link := peer.New(clock, logs.Part(log, "peer"))
+	x := fetch.New(s.Name, link, logs.Part(log, "fetch"))
+	link.ServeFetch(x)
+	loop := ctrl.New(newSelf(s), clock, boot.Clock{}, &executor{watcher: w, exchange: x})
 	control, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go loop.Run(control)
 	go w.Run(control, loop)
-	link, err := startPeer(control, s, clock, logs.Part(log, "peer"))
-	if err != nil {
+	go x.Run(control, loop)
+	if err := startPeer(control, s, link, logs.Part(log, "peer")); err != nil {
 		return err
 	}
 	traffic := proxy.New(proxy.Options{
@@ -70,31 +76,45 @@
 	stop()
 	<-loop.Done()
 	<-w.Done()
+	<-x.Done()
 	<-link.Done()
 	return err
 }
 
 // executor hands control's actions to the adapters.
 type executor struct {
-	watcher *watch.Watcher
+	watcher  *watch.Watcher
+	exchange *fetch.Exchange
 }
 
 var _ ctrl.Executor = (*executor)(nil)
 
 // Do queues the action with the adapter that carries it out.
 func (x *executor) Do(a ctrl.Action) {
-	if a, ok := a.(ctrl.WatchServices); ok {
-		x.watcher.SetServices(a.Services)
+	switch a := a.(type) {
+	case dist.Watch, dist.Unwatch, dist.Store:
+		x.watcher.Do(a)
+	case ctrl.FetchPeer:
+		x.exchange.Do(a)
+	}
+}
+
+// newSelf returns what control knows of this instance from the settings.
+func newSelf(s *config.Settings) ctrl.Self {
+	cfg := dist.DefaultConfig(s.Place.Count)
+	cfg.Wait = s.Platform.Wait.Std()
+	return ctrl.Self{
+		ID: s.Name, Domain: s.Domain, Traffic: s.Traffic.Address, Count: s.Place.Count,
+		Dist: cfg, Seed: rand.Uint64(),
 	}
 }
 
 // startPeer opens the link to other instances.
-func startPeer(ctx context.Context, s *config.Settings, clock clockwork.Clock, log *logs.Prefixed) (*peer.Peer, error) {
+func startPeer(ctx context.Context, s *config.Settings, p *peer.Peer, log *logs.Prefixed) error {
 	sock, err := net.Listen("tcp", s.Peer.Address.String())
 	if err != nil {
-		return nil, err
+		return err
 	}
-	p := peer.New(clock, log)
 	p.ServePing(selfOnly{id: s.Name})
 	log.Infof("listens on %s", sock.Addr())
 	go func() {
@@ -102,7 +122,7 @@
 			log.Errorf("listener failed: %v", err)
 		}
 	}()
-	return p, nil
+	return nil
 }
 
 // selfOnly answers heartbeats for an instance that does not take part in membership yet.
--- a/goldcreststand/internal/ctrl/events.go
+++ b/goldcreststand/internal/ctrl/events.go
@@ -1,7 +1,6 @@
 package ctrl
 
 import (
-	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/roster"
 	"goldcreststand.example/core/route"
 	"goldcreststand.example/core/table"
@@ -13,22 +12,15 @@
 // ListingSeen says that a list of backend servers was read.
 type ListingSeen struct{ Listing *roster.Listing }
 
-// CatalogSeen names all services that have a routing table.
-type CatalogSeen struct{ Services []ident.ServiceName }
-
 // OutcomesSeen is a batch of outcomes that traffic reports.
 type OutcomesSeen struct{ Outcomes []route.Outcome }
 
-// WatchServices asks for watches on the tables and lists of exactly these services.
-type WatchServices struct{ Services []ident.ServiceName }
-
 // tick says that time has passed.
 type tick struct{}
 
 var (
 	_ Event = TableSeen{}
 	_ Event = ListingSeen{}
-	_ Event = CatalogSeen{}
 	_ Event = OutcomesSeen{}
 	_ Event = tick{}
 )
@@ -49,10 +41,6 @@
 	return nil
 }
 
-func (e CatalogSeen) apply(*state) []Action {
-	return []Action{WatchServices(e)}
-}
-
 func (OutcomesSeen) apply(*state) []Action { return nil }
 
-func (tick) apply(*state) []Action { return nil }
+func (tick) apply(st *state) []Action { return st.distTick() }
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -1,9 +1,11 @@
 package ctrl
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
+	"goldcreststand.example/core/dist"
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/place"
 	"goldcreststand.example/core/roster"
@@ -18,6 +20,10 @@
 	Traffic netip.AddrPort
 	// Count is the number of instances that serve a service.
 	Count int
+	// Dist sets the distribution of tables, lists and statuses.
+	Dist dist.Config
+	// Seed is the seed of random choices.
+	Seed uint64
 }
 
 // state is all control state. Only the control goroutine touches it.
@@ -27,13 +33,19 @@
 	nodes []place.Node
 	// addresses holds the traffic address of each known instance.
 	addresses map[ident.InstanceID]netip.AddrPort
-	services  map[ident.ServiceName]*service
+	// peers holds the peer address of each known instance.
+	peers    map[ident.InstanceID]netip.AddrPort
+	services map[ident.ServiceName]*service
+	dist     *dist.Core
+	// distNodes are the instances that dist knows of.
+	distNodes []place.Node
 }
 
 // service is the control state of one service.
 type service struct {
 	table   *table.Table
 	listing *roster.Listing
+	status  *table.Status
 	loads   map[ident.ServerID]*route.Load
 }
 
@@ -42,7 +54,9 @@
 		self:      self,
 		nodes:     []place.Node{{ID: self.ID, Domain: self.Domain}},
 		addresses: map[ident.InstanceID]netip.AddrPort{self.ID: self.Traffic},
+		peers:     make(map[ident.InstanceID]netip.AddrPort),
 		services:  make(map[ident.ServiceName]*service),
+		dist:      dist.New(self.ID, self.Dist, rand.New(rand.NewPCG(self.Seed, 0))),
 	}
 }
 
@@ -60,21 +74,22 @@
 func (st *state) snapshot() *route.Snapshot {
 	out := &route.Snapshot{Services: make(map[ident.ServiceName]*route.Service, len(st.services))}
 	for n, s := range st.services {
-		if s.table != nil {
-			out.Services[n] = st.serviceSnapshot(n, s)
-		}
+		out.Services[n] = st.serviceSnapshot(n, s)
 	}
 	return out
 }
 
 func (st *state) serviceSnapshot(n ident.ServiceName, s *service) *route.Service {
-	out := &route.Service{Name: n, Revision: s.table.Revision}
+	out := &route.Service{Name: n}
 	serving := place.Serving(n, st.nodes, st.self.Count)
 	for _, node := range serving {
 		out.Entries = append(out.Entries, st.addresses[node.ID])
 		out.Local = out.Local || node.ID == st.self.ID
 	}
-	if !out.Local || s.listing == nil {
+	if s.table != nil {
+		out.Revision = s.table.Revision
+	}
+	if !out.Local || s.table == nil || s.listing == nil {
 		return out
 	}
 	for _, b := range s.listing.Servers {
--- /dev/null
+++ b/goldcreststand/internal/fetch/fetch.go
@@ -0,0 +1,132 @@
+// Package fetch exchanges routing tables, server lists and rollout statuses with other instances: it calls
+// them for control and answers their calls from control's state.
+package fetch
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+
+	"github.com/zeebo/errs"
+
+	"goldcreststand.example/core/dist"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/goldcreststand/internal/ctrl"
+	"goldcreststand.example/schema/wire"
+)
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("fetch")
+
+// concurrency bounds the calls of peers at a time. A call beyond it fails at once and control retries.
+const concurrency = 64
+
+// Poster hands events to control.
+type Poster interface {
+	Post(ctx context.Context, ev ctrl.Event) error
+}
+
+// Link calls other instances.
+type Link interface {
+	Fetch(ctx context.Context, to netip.AddrPort, f *wire.Fetch) (*wire.Fetched, error)
+}
+
+// Log is the log of an Exchange.
+type Log interface {
+	Debugf(format string, args ...any)
+}
+
+// Exchange is both ends of the method fetch.
+type Exchange struct {
+	self   ident.InstanceID
+	link   Link
+	log    Log
+	queue  chan ctrl.FetchPeer
+	done   chan struct{}
+	mu     sync.Mutex
+	poster Poster
+}
+
+// New returns an exchange that has not started.
+func New(self ident.InstanceID, l Link, log Log) *Exchange {
+	return &Exchange{self: self, link: l, log: log, queue: make(chan ctrl.FetchPeer, concurrency), done: make(chan struct{})}
+}
+
+// Done is closed when Run and all its calls have returned.
+func (x *Exchange) Done() <-chan struct{} { return x.done }
+
+// Do queues a call and does not block. When the queue is full the call is left out; control notices that
+// no response came.
+func (x *Exchange) Do(a ctrl.FetchPeer) {
+	select {
+	case x.queue <- a:
+	default:
+		x.log.Debugf("queue is full; call of %s left out", a.Fetch.To)
+	}
+}
+
+// Run makes calls until the context ends and posts to p.
+func (x *Exchange) Run(ctx context.Context, p Poster) {
+	defer close(x.done)
+	x.mu.Lock()
+	x.poster = p
+	x.mu.Unlock()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	free := make(chan struct{}, concurrency)
+	for {
+		select {
+		case a := <-x.queue:
+			select {
+			case free <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			wg.Go(func() {
+				defer func() { <-free }()
+				// Post fails only when the instance stops.
+				_ = p.Post(ctx, ctrl.DistSeen{Event: x.call(ctx, a)})
+			})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (x *Exchange) call(ctx context.Context, a ctrl.FetchPeer) dist.Event {
+	got, err := x.link.Fetch(ctx, a.Address, wire.FromRequest(x.self, a.Fetch.Request))
+	if err == nil {
+		var r dist.Reply
+		if r, err = got.Core(); err == nil {
+			return dist.Fetched{From: a.Fetch.To, Call: a.Fetch.Call, Reply: r}
+		}
+	}
+	x.log.Debugf("call of %s failed: %v", a.Fetch.To, err)
+	return dist.FetchFailed{Call: a.Fetch.Call}
+}
+
+// Fetch answers a peer from control's state.
+func (x *Exchange) Fetch(ctx context.Context, f *wire.Fetch) (*wire.Fetched, error) {
+	r, err := f.Core()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	x.mu.Lock()
+	p := x.poster
+	x.mu.Unlock()
+	if p == nil {
+		return nil, Error.New("instance is starting")
+	}
+	reply := make(chan dist.Reply, 1)
+	if err := p.Post(ctx, ctrl.FetchSeen{From: f.Sender, Request: r, Reply: reply}); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	select {
+	case out := <-reply:
+		return wire.FromReply(out), nil
+	case <-ctx.Done():
+		return nil, Error.Wrap(ctx.Err())
+	}
+}
--- a/goldcreststand/internal/watch/watcher.go
+++ b/goldcreststand/internal/watch/watcher.go
@@ -1,4 +1,5 @@
-// Package watch reads objects of the platform and posts what it sees to control.
+// Package watch carries out the calls of the platform that the distribution core asks for, and posts
+// what they bring to control.
 package watch
 
 import (
@@ -8,14 +9,13 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/dist"
 	"goldcreststand.example/goldcreststand/internal/ctrl"
 	"goldcreststand.example/lib/plat"
-	"goldcreststand.example/schema/wire"
 )
 
-// retryDelay is the time between two tries after a failed call of the platform.
-const retryDelay = time.Second
+// storeTimeout bounds the storing of a rollout status with all its tries.
+const storeTimeout = 5 * time.Second
 
 // Poster hands events to control.
 type Poster interface {
@@ -24,137 +24,105 @@
 
 // Platform is the part of the platform's client that a Watcher uses.
 type Platform interface {
+	plat.Store
 	Watch(ctx context.Context, path string, tag plat.Tag, wait time.Duration, v any) (plat.Tag, bool, error)
 }
 
 // Log is the log of a Watcher.
 type Log interface {
+	Infof(format string, args ...any)
 	Warnf(format string, args ...any)
 }
 
-// Watcher watches the catalogue of services and the services that control asks for.
+// Watcher carries out calls of the platform.
 type Watcher struct {
 	platform Platform
-	wait     time.Duration
 	clock    clockwork.Clock
-	log      Log
-	wanted   chan []ident.ServiceName
+	log      *outageLog
 	done     chan struct{}
+
+	mu     sync.Mutex
+	queue  []dist.Action
+	queued chan struct{}
 }
 
 // New returns a watcher that has not started.
-func New(p Platform, wait time.Duration, clock clockwork.Clock, log Log) *Watcher {
+func New(p Platform, clock clockwork.Clock, log Log) *Watcher {
 	return &Watcher{
 		platform: p,
-		wait:     wait,
 		clock:    clock,
-		log:      log,
-		wanted:   make(chan []ident.ServiceName, 1),
+		log:      &outageLog{log: log},
 		done:     make(chan struct{}),
+		queued:   make(chan struct{}, 1),
 	}
 }
 
-// Done is closed when Run has returned.
+// Done is closed when Run and all its calls have returned.
 func (w *Watcher) Done() <-chan struct{} { return w.done }
 
-// SetServices asks for watches on exactly these services. It does not block: a newer set replaces one
-// that waits. Only the control goroutine calls it.
-func (w *Watcher) SetServices(names []ident.ServiceName) {
+// Do queues a dist.Watch, dist.Unwatch or dist.Store and does not block.
+func (w *Watcher) Do(a dist.Action) {
+	w.mu.Lock()
+	w.queue = append(w.queue, a)
+	w.mu.Unlock()
 	select {
-	case <-w.wanted:
+	case w.queued <- struct{}{}:
 	default:
 	}
-	w.wanted <- names
 }
 
-// Run watches until the context ends and posts to p.
+func (w *Watcher) take() []dist.Action {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	q := w.queue
+	w.queue = nil
+	return q
+}
+
+// Run carries out calls until the context ends and posts to p.
 func (w *Watcher) Run(ctx context.Context, p Poster) {
 	defer close(w.done)
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { w.watchCatalog(ctx, p) })
-	running := make(map[ident.ServiceName]context.CancelFunc)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	running := make(map[dist.Key]context.CancelFunc)
 	for {
 		select {
-		case names := <-w.wanted:
-			w.reconcile(ctx, p, &wg, running, names)
+		case <-w.queued:
 		case <-ctx.Done():
 			return
 		}
-	}
-}
-
-func (w *Watcher) reconcile(ctx context.Context, p Poster, wg *sync.WaitGroup, running map[ident.ServiceName]context.CancelFunc, names []ident.ServiceName) {
-	keep := make(map[ident.ServiceName]bool, len(names))
-	for _, n := range names {
-		keep[n] = true
-		if _, ok := running[n]; ok {
-			continue
+		for _, a := range w.take() {
+			switch a := a.(type) {
+			case dist.Watch:
+				end(running, a.Key)
+				sub, cancel := context.WithCancel(ctx)
+				running[a.Key] = cancel
+				wg.Go(func() {
+					defer cancel()
+					w.post(sub, p, w.watch(sub, a))
+				})
+			case dist.Unwatch:
+				end(running, a.Key)
+			case dist.Store:
+				wg.Go(func() { w.post(ctx, p, w.store(ctx, a)) })
+			}
 		}
-		sub, cancel := context.WithCancel(ctx)
-		running[n] = cancel
-		wg.Go(func() { w.watchTable(sub, p, n) })
-		wg.Go(func() { w.watchListing(sub, p, n) })
 	}
-	for n, cancel := range running {
-		if !keep[n] {
-			cancel()
-			delete(running, n)
-		}
-	}
-}
-
-func (w *Watcher) watchCatalog(ctx context.Context, p Poster) {
-	poll(ctx, w, "/objects/tables", func(k *wire.Keys) ctrl.Event {
-		names := make([]ident.ServiceName, len(k.Names))
-		for i, n := range k.Names {
-			names[i] = ident.ServiceName(n)
-		}
-		return ctrl.CatalogSeen{Services: names}
-	}, p)
 }
 
-func (w *Watcher) watchTable(ctx context.Context, p Poster, n ident.ServiceName) {
-	poll(ctx, w, plat.ObjectPath("tables", string(n)), func(t *wire.Table) ctrl.Event {
-		return ctrl.TableSeen{Table: t.Core()}
-	}, p)
-}
-
-func (w *Watcher) watchListing(ctx context.Context, p Poster, n ident.ServiceName) {
-	poll(ctx, w, plat.InstancesPath(string(n)), func(l *wire.Listing) ctrl.Event {
-		return ctrl.ListingSeen{Listing: l.Core()}
-	}, p)
-}
-
-// poll posts an event for each new version of the value at the path, until the context ends.
-func poll[T any](ctx context.Context, w *Watcher, path string, event func(*T) ctrl.Event, p Poster) {
-	var tag plat.Tag
-	for ctx.Err() == nil {
-		v := new(T)
-		next, changed, err := w.platform.Watch(ctx, path, tag, w.wait, v)
-		if err != nil {
-			w.pause(ctx, path, err)
-			continue
-		}
-		if !changed {
-			continue
-		}
-		tag = next
-		if err := p.Post(ctx, event(v)); err != nil {
-			return
-		}
+func end(running map[dist.Key]context.CancelFunc, k dist.Key) {
+	if cancel, ok := running[k]; ok {
+		cancel()
+		delete(running, k)
 	}
 }
 
-func (w *Watcher) pause(ctx context.Context, path string, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	if !plat.ErrNotFound.Has(err) {
-		w.log.Warnf("watch of %s failed: %v", path, err)
-	}
-	select {
-	case <-w.clock.After(retryDelay):
-	case <-ctx.Done():
+// post hands the event to control unless the call was ended meanwhile.
+func (w *Watcher) post(ctx context.Context, p Poster, ev dist.Event) {
+	if ctx.Err() == nil {
+		// Post fails only when the instance stops.
+		_ = p.Post(ctx, ctrl.DistSeen{Event: ev})
 	}
 }
