core/limit, core/route, goldcreststand: bound, queue and route calls

Cause: each instance used slots / instances of every server at once, also with too few slots, after a restart and while views differed; a call without a free slot was rejected, and servers were chosen by calls in flight alone. Change: core/limit divides the slots of each server and the limits of all rows between the serving instances (Near), holds increases back for 6 s (Ledger) and orders waiting calls by class, tenant and arrival (Queue). core/route estimates latency per server (decaying peak, silence of calls in flight, failures as slow, load reports as a malus only), draws the version first and then the server (Proportional); Random, RoundRobin, LeastInflight, TwoChoices and LeastCost are baselines. Control publishes the shares in force and lets callers use instances that have some; the proxy blocks a request on one channel until the goroutine that frees a slot hands it over. Ruled out: splitting each server's slots evenly (Spread: three of four calls cross failure domains, instances without a slot at 3 slots and 4 instances); whole servers by hashing (Whole: imbalance); counters per limited group at each pick (shares that keep to the limits by construction cost nothing); taking over an instance's shares at its graceful leave without the delay (two instances with different views could both take them). Mutations of the ledger (delay 4 s, no reset after a pause, no minimum) fail its stateful test. Conclusion: sums of shares in force hold while views are at most 5 s old and members change at least 5 s apart; quicker flapping is not covered.

--- /dev/null
+++ b/core/limit/queue_test.go
@@ -0,0 +1,160 @@
+package limit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/limit"
+)
+
+const queueRoom = 12
+
+type entry = limit.Entry[int]
+
+// queueWorld checks a queue against the plain list of the calls that wait.
+type queueWorld struct {
+	q       *limit.Queue[int]
+	now     time.Duration
+	waiting []*entry
+	ended   map[int]bool
+	pushed  int
+}
+
+// end notes that a call left the queue; it fails when the call was not there or left before.
+func (w *queueWorld) end(t *rapid.T, e *entry) {
+	require.False(t, w.ended[e.Value], "call %d ended twice", e.Value)
+	w.ended[e.Value] = true
+	for i, x := range w.waiting {
+		if x == e {
+			w.waiting = append(w.waiting[:i:i], w.waiting[i+1:]...)
+			return
+		}
+	}
+	t.Fatalf("call %d was not waiting", e.Value)
+}
+
+func (w *queueWorld) push(t *rapid.T) {
+	w.pushed++
+	e := &entry{Value: w.pushed, Call: limit.Call{
+		Tenant:   rapid.SampledFrom([]ident.TenantName{"a", "b", "c"}).Draw(t, "tenant"),
+		Class:    limit.Class(rapid.IntRange(0, 7).Draw(t, "class")),
+		Deadline: w.now + time.Duration(rapid.IntRange(-1, 50).Draw(t, "deadline"))*time.Millisecond,
+	}}
+	verdict, victim := w.q.Push(w.now, e, ident.Slots(rapid.IntRange(0, 4).Draw(t, "slots")))
+	if victim != nil {
+		require.GreaterOrEqual(t, victim.Call.Class, e.Call.Class, "a more urgent call gave way")
+		w.end(t, victim)
+	}
+	if verdict == limit.VerdictWait {
+		w.waiting = append(w.waiting, e)
+	} else {
+		w.ended[e.Value] = true
+		require.Nil(t, victim)
+	}
+	require.Equal(t, verdict == limit.VerdictWait, e.Waiting())
+}
+
+func (w *queueWorld) start(t *rapid.T) {
+	e := w.q.Next(w.now, func(e *entry) { w.end(t, e) })
+	if e == nil {
+		require.Empty(t, w.waiting)
+		return
+	}
+	require.Less(t, w.now, e.Call.Deadline, "started after its deadline")
+	for _, x := range w.waiting {
+		require.GreaterOrEqual(t, x.Call.Class, e.Call.Class, "a more urgent call waits")
+		if x.Call.Class == e.Call.Class && x.Call.Tenant == e.Call.Tenant {
+			require.Equal(t, e, x, "an earlier call of the tenant waits")
+			break
+		}
+	}
+	w.q.Start(e)
+	w.end(t, e)
+}
+
+// Guards against calls that are lost, started twice, out of order or after their deadline.
+func TestQueueAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &queueWorld{q: limit.NewQueue[int](queueRoom), ended: make(map[int]bool)}
+		t.Repeat(map[string]func(*rapid.T){
+			"push":  w.push,
+			"burst": func(t *rapid.T) { w.push(t); w.push(t); w.push(t) },
+			"start": w.start,
+			"cancel": func(t *rapid.T) {
+				if len(w.waiting) == 0 {
+					t.Skip("nothing waits")
+				}
+				e := rapid.SampledFrom(w.waiting).Draw(t, "entry")
+				w.q.Remove(e)
+				w.end(t, e)
+			},
+			"pass":  func(t *rapid.T) { w.now += time.Duration(rapid.IntRange(1, 20).Draw(t, "ms")) * time.Millisecond },
+			"freed": func(t *rapid.T) { w.q.Freed(time.Duration(rapid.IntRange(1, 10).Draw(t, "ms")) * time.Millisecond) },
+			"": func(t *rapid.T) {
+				require.Equal(t, len(w.waiting), w.q.Len())
+				require.LessOrEqual(t, w.q.Len(), queueRoom)
+				require.Equal(t, w.pushed, len(w.ended)+len(w.waiting))
+			},
+		})
+	})
+}
+
+func fill(t *testing.T, q *limit.Queue[int], tenant ident.TenantName, n int) {
+	for range n {
+		q.Push(0, &entry{Call: limit.Call{Tenant: tenant, Class: limit.DefaultClass, Deadline: time.Minute}}, 1)
+	}
+	require.NotZero(t, q.Len())
+}
+
+// Guards against a tenant whose burst keeps the calls of another from starting or from the queue.
+func TestBurstDoesNotStarveOthers(t *testing.T) {
+	for _, burst := range []int{5, queueRoom, 1000} {
+		t.Run(fmt.Sprint(burst), func(t *testing.T) {
+			q := limit.NewQueue[int](queueRoom)
+			fill(t, q, "burst", burst)
+			for i := range 3 {
+				e := &entry{Value: i + 1, Call: limit.Call{Tenant: "calm", Class: limit.DefaultClass, Deadline: time.Minute}}
+				verdict, _ := q.Push(0, e, 1)
+				require.Equal(t, limit.VerdictWait, verdict)
+			}
+			var order []int
+			for range 6 {
+				e := q.Next(0, nil)
+				order = append(order, e.Value)
+				q.Start(e)
+			}
+			require.Equal(t, []int{0, 1, 0, 2, 0, 3}, order)
+		})
+	}
+}
+
+// Guards against calls that wait although they cannot be completed in time, and against early rejection
+// of a call that can.
+func TestPushRejectsByPredictedWait(t *testing.T) {
+	q := limit.NewQueue[int](1000)
+	q.Freed(10 * time.Millisecond)
+	fill(t, q, "a", 20)
+	// 21 calls at 10 ms each over 2 slots take 105 ms, and 20 ms must be left.
+	for _, c := range []struct {
+		name     string
+		deadline time.Duration
+		class    limit.Class
+		want     limit.Verdict
+	}{
+		{"too late", 124 * time.Millisecond, limit.DefaultClass, limit.VerdictLate},
+		{"in time", 126 * time.Millisecond, limit.DefaultClass, limit.VerdictWait},
+		{"urgent", 30 * time.Millisecond, 0, limit.VerdictWait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			verdict, _ := q.Push(0, &entry{Call: limit.Call{Tenant: "a", Class: c.class, Deadline: c.deadline}}, 2)
+			require.Equal(t, c.want, verdict)
+		})
+	}
+	verdict, _ := q.Push(2*time.Second, &entry{Call: limit.Call{Tenant: "a", Class: limit.DefaultClass, Deadline: time.Minute}}, 2)
+	require.Equal(t, limit.VerdictFull, verdict, "a standing queue must not grow")
+}
--- /dev/null
+++ b/core/route/leastinflight.go
@@ -0,0 +1,39 @@
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// LeastInflight chooses the server with the fewest calls in flight for its weight. Ties are broken at
+// random, so that idle servers share the work.
+type LeastInflight struct{}
+
+var _ Picker = LeastInflight{}
+
+// Pick implements Picker.
+func (LeastInflight) Pick(servers []*Server, now time.Duration, rng *rand.Rand) *Server {
+	return acquire(leastInflight, servers, now, rng)
+}
+
+func leastInflight(servers []*Server, _ time.Duration, rng *rand.Rand) *Server {
+	var best *Server
+	var bestScore float64
+	ties := 0
+	for _, s := range servers {
+		if !s.free() {
+			continue
+		}
+		score := float64(s.Load.Inflight()+1) / float64(s.Weight)
+		switch {
+		case best == nil || score < bestScore:
+			best, bestScore, ties = s, score, 1
+		case score == bestScore:
+			ties++
+			if rng.IntN(ties) == 0 {
+				best = s
+			}
+		}
+	}
+	return best
+}
--- a/core/route/load.go
+++ b/core/route/load.go
@@ -1,7 +1,9 @@
 package route
 
 import (
+	"math"
 	"sync/atomic"
+	"time"
 
 	"goldcreststand.example/core/ident"
 )
@@ -9,10 +11,37 @@
 // DefaultWeight is the weight of a subject that has no row.
 const DefaultWeight ident.Weight = 100
 
-// Load counts the calls that this instance has in flight at one backend server. Traffic goroutines
-// share it; it outlives the snapshots that refer to it.
+// Constants of the latency estimate.
+const (
+	// meanSamples is the number of calls over which the mean latency is averaged.
+	meanSamples = 16
+	// peakDecay is the time in which a latency above the mean loses 63 % of its excess. Noisy
+	// neighbours slow a server for tens of milliseconds, so the excess is kept for about that long.
+	peakDecay = 100 * time.Millisecond
+	// failurePenalty is the latency that a failed call counts for at least; it doubles with each
+	// further failure in a row, maxDoublings times at most. A server that fails fast would attract
+	// traffic otherwise.
+	failurePenalty = 250 * time.Millisecond
+	maxDoublings   = 5
+	// reportLife is the time for which a load report counts. Reports are stale by then.
+	reportLife = 100 * time.Millisecond
+)
+
+// Load holds what this instance counts and measures at one backend server. Traffic goroutines share
+// it; it outlives the snapshots that refer to it. Concurrent observations may overwrite each other;
+// that loses one sample of the estimate. All times are readings of the boot-time clock.
 type Load struct {
 	inflight atomic.Int32
+	failures atomic.Int32
+	// mean and peak are latencies in nanoseconds; peak held at stamp and decays to mean.
+	mean  atomic.Int64
+	peak  atomic.Int64
+	stamp atomic.Int64
+	// progress is the time of the last response, or of the first call in flight if that was later.
+	progress atomic.Int64
+	// others is the use by other instances in per mille of the slots, as reported at reported.
+	others   atomic.Int32
+	reported atomic.Int64
 }
 
 // Inflight returns the number of calls in flight.
@@ -31,5 +60,103 @@
 	}
 }
 
+// begin notes that a call has got a slot.
+func (l *Load) begin(now time.Duration) {
+	if l.inflight.Load() == 1 {
+		l.progress.Store(int64(now))
+	}
+}
+
 // Release gives one slot back.
 func (l *Load) Release() { l.inflight.Add(-1) }
+
+// Observe notes the end of a try. A failure counts as slow, by at least failurePenalty. A canceled try
+// counts only when it took longer than expected, because its latency is a lower bound.
+func (l *Load) Observe(now, latency time.Duration, r Result) {
+	l.progress.Store(int64(now))
+	switch r {
+	case ResultOK:
+		l.failures.Store(0)
+		l.sample(now, latency)
+	case ResultCanceled:
+		if latency > l.Latency(now) {
+			l.sample(now, latency)
+		}
+	default:
+		n := min(l.failures.Add(1)-1, maxDoublings)
+		l.sample(now, max(latency, failurePenalty<<n))
+	}
+}
+
+func (l *Load) sample(now, latency time.Duration) {
+	peak := max(l.Latency(now), latency)
+	if mean := l.mean.Load(); mean == 0 {
+		l.mean.Store(int64(latency))
+	} else {
+		l.mean.Store(max(1, mean+(int64(latency)-mean)/meanSamples))
+	}
+	l.peak.Store(int64(peak))
+	l.stamp.Store(int64(now))
+}
+
+// Latency estimates the latency of the next call: the mean, or the largest recent latency while that
+// has not decayed (as in Finagle's "peak EWMA"). It is 0 while nothing is known.
+func (l *Load) Latency(now time.Duration) time.Duration {
+	mean := l.mean.Load()
+	excess := l.peak.Load() - mean
+	if excess <= 0 {
+		return time.Duration(mean)
+	}
+	return time.Duration(mean) + decay(time.Duration(excess), now-time.Duration(l.stamp.Load()))
+}
+
+// decay approximates excess * exp(-age/peakDecay) from above by the first terms of the series of the
+// exponential function; the error does not matter for a score and the division is cheap.
+func decay(excess, age time.Duration) time.Duration {
+	x := float64(max(age, 0)) / float64(peakDecay)
+	return time.Duration(float64(excess) / (1 + x + x*x/2 + x*x*x/6))
+}
+
+// Report notes the load that the server reported: calls in flight from all instances, and slots. The
+// calls of this instance are known exactly and are subtracted.
+func (l *Load) Report(now time.Duration, inflight, slots ident.Slots) {
+	if slots <= 0 {
+		return
+	}
+	others := min(max(inflight-l.Inflight(), 0), slots)
+	l.others.Store(int32(others) * int32(ident.FullShare) / int32(slots))
+	l.reported.Store(int64(now))
+}
+
+// crowding is 1 plus the part of the server's slots that other instances use by the last report, at
+// most 2. A report can therefore not attract traffic, and a wrong one does little harm.
+func (l *Load) crowding(now time.Duration) float64 {
+	others := l.others.Load()
+	if others == 0 || now-time.Duration(l.reported.Load()) > reportLife {
+		return 1
+	}
+	return 1 + float64(others)/float64(ident.FullShare)
+}
+
+// silence is the time since the server's last response while calls are in flight there, a lower bound
+// of the latency of the oldest of them. It shows a slow server before its next response does.
+func (l *Load) silence(now time.Duration) time.Duration {
+	if l.inflight.Load() == 0 {
+		return 0
+	}
+	return now - time.Duration(l.progress.Load())
+}
+
+// cost scores the server for one more call: expected latency, times crowding, times 1 plus the calls in
+// flight per weight. Lower is better. A server without a known latency has that of unknown.
+func (s *Server) cost(now time.Duration, unknown float64) float64 {
+	latency := float64(max(s.Load.Latency(now), s.Load.silence(now)))
+	if latency == 0 {
+		latency = unknown
+	}
+	inflight := float64(s.Load.Inflight()) * float64(DefaultWeight) / float64(s.Weight)
+	return math.Max(latency, 1) * (1 + inflight) * s.Load.crowding(now)
+}
+
+// free reports whether the server may get one more call from this instance.
+func (s *Server) free() bool { return s.Weight > 0 && s.Load.Inflight() < s.Share }
--- /dev/null
+++ b/core/route/random.go
@@ -0,0 +1,41 @@
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Random chooses any server with a free slot, in proportion to the weights.
+type Random struct{}
+
+var _ Picker = Random{}
+
+// Pick implements Picker.
+func (Random) Pick(servers []*Server, now time.Duration, rng *rand.Rand) *Server {
+	return acquire(random, servers, now, rng)
+}
+
+func random(servers []*Server, _ time.Duration, rng *rand.Rand) *Server {
+	var total uint64
+	for _, s := range servers {
+		if s.free() {
+			total += uint64(s.Weight)
+		}
+	}
+	if total == 0 {
+		return nil
+	}
+	at := rng.Uint64N(total)
+	var last *Server
+	for _, s := range servers {
+		if !s.free() {
+			continue
+		}
+		last = s
+		if at < uint64(s.Weight) {
+			return s
+		}
+		at -= uint64(s.Weight)
+	}
+	return last
+}
--- a/core/route/snapshot.go
+++ b/core/route/snapshot.go
@@ -27,6 +27,17 @@
 	Entries []netip.AddrPort
 	// Servers are the backend servers that may take new work. Empty when Local is false.
 	Servers []*Server
+	// Versions divides Servers by version.
+	Versions []Version
+}
+
+// Slots returns the number of calls that this instance may have in flight at all servers.
+func (s *Service) Slots() ident.Slots {
+	var n ident.Slots
+	for _, srv := range s.Servers {
+		n += srv.Share
+	}
+	return n
 }
 
 // Server is one backend server as one instance may use it.
@@ -35,32 +46,47 @@
 	Address netip.AddrPort
 	Domain  ident.DomainName
 	Version ident.VersionName
-	Weight  ident.Weight
+	// Weight is the server's weight relative to the other servers of its version.
+	Weight ident.Weight
 	// Share is the largest number of calls in flight that this instance may have at the server.
 	Share ident.Slots
 	Load  *Load
 }
 
-// Rows returns the effective weight of a server under the table: the product of the weights of its
-// server, failure domain and version rows relative to DefaultWeight, and whether it may take work.
+// Rows returns the weight of a server under the table relative to the other servers of its version: the
+// product of the weights of its server and failure domain rows relative to DefaultWeight. It also
+// reports whether the server may take work: no row, that of its version included, is out or has weight 0.
 func Rows(t *table.Table, id ident.ServerID, d ident.DomainName, v ident.VersionName) (ident.Weight, bool) {
-	w := uint64(DefaultWeight)
-	for _, key := range []struct {
-		kind table.Kind
-		name string
-	}{
-		{table.KindServer, string(id)},
-		{table.KindDomain, string(d)},
-		{table.KindVersion, string(v)},
-	} {
-		r, ok := t.Find(key.kind, key.name)
-		if !ok {
-			continue
-		}
-		if r.State == table.StateOut {
-			return 0, false
-		}
-		w = w * uint64(r.Weight) / uint64(DefaultWeight)
+	ws, okServer := rowWeight(t, table.KindServer, string(id))
+	wd, okDomain := rowWeight(t, table.KindDomain, string(d))
+	_, okVersion := rowWeight(t, table.KindVersion, string(v))
+	w := uint64(ws) * uint64(wd) / uint64(DefaultWeight)
+	return ident.Weight(min(w, uint64(ident.MaxWeight))), okServer && okDomain && okVersion && w > 0
+}
+
+// VersionWeight returns the weight of a version, 0 when it may take no work.
+func VersionWeight(t *table.Table, v ident.VersionName) ident.Weight {
+	w, ok := rowWeight(t, table.KindVersion, string(v))
+	if !ok {
+		return 0
+	}
+	return w
+}
+
+// DomainWeight returns the weight of a failure domain, 0 when it may take no work.
+func DomainWeight(t *table.Table, d ident.DomainName) ident.Weight {
+	w, ok := rowWeight(t, table.KindDomain, string(d))
+	if !ok {
+		return 0
+	}
+	return w
+}
+
+// rowWeight returns the weight of one subject and whether it may take work.
+func rowWeight(t *table.Table, kind table.Kind, name string) (ident.Weight, bool) {
+	r, ok := t.Find(kind, name)
+	if !ok {
+		return DefaultWeight, true
 	}
-	return ident.Weight(min(w, uint64(ident.MaxWeight))), w > 0
+	return r.Weight, r.State == table.StateActive && r.Weight > 0
 }
--- /dev/null
+++ b/core/route/version_test.go
@@ -0,0 +1,104 @@
+package route_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/route"
+	"goldcreststand.example/core/table"
+)
+
+// service returns a service with an old and a new version of the given weights.
+func service(older, newer []*route.Server, wo, wn ident.Weight) *route.Service {
+	s := &route.Service{Servers: append([]*route.Server{}, newer...)}
+	for i, srv := range newer {
+		srv.Version, srv.ID = "v2", ident.ServerID(fmt.Sprintf("n%d", i))
+	}
+	s.Servers = append(s.Servers, older...)
+	s.Group(func(v ident.VersionName) ident.Weight {
+		if v == "v2" {
+			return wn
+		}
+		return wo
+	})
+	return s
+}
+
+// Guards against version weights that are scores only: the new version has as many servers and is
+// faster here, and must still get no more and no less than its share.
+func TestVersionWeightsAreSharesOfTraffic(t *testing.T) {
+	const calls = 20000
+	for _, share := range []int{1, 5, 25, 50} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			s := service(servers(6, 4), servers(6, 4), ident.Weight(100-share), ident.Weight(share))
+			for _, srv := range s.Servers {
+				d := 10 * time.Millisecond
+				if srv.Version == "v2" {
+					d = time.Millisecond
+				}
+				srv.Load.Observe(time.Minute, d, route.ResultOK)
+			}
+			rng, n := newRng(), 0
+			for range calls {
+				srv := s.Pick(route.Proportional{}, s.Draw(rng), time.Minute, rng)
+				if srv.Version == "v2" {
+					n++
+				}
+				srv.Load.Release()
+			}
+			p := float64(share) / 100
+			require.InDelta(t, p*calls, n, 5*math.Sqrt(calls*p*(1-p)))
+		})
+	}
+}
+
+// Guards against a new version that gets the calls which the old one has no slots for.
+func TestFullVersionDoesNotRaiseLighterOne(t *testing.T) {
+	s := service(servers(2, 1), servers(2, 1), 95, 5)
+	rng := newRng()
+	older, newer := s.Version("v1"), s.Version("v2")
+	for range 2 {
+		require.NotNil(t, s.Pick(route.Proportional{}, older, time.Minute, rng))
+	}
+	require.Nil(t, s.Pick(route.Proportional{}, older, time.Minute, rng))
+	older.Servers[0].Load.Release()
+	for range 3 {
+		srv := s.Pick(route.Proportional{}, newer, time.Minute, rng)
+		require.NotNil(t, srv, "a call of the new version may go to the old one")
+	}
+	require.Nil(t, s.Pick(route.Proportional{}, newer, time.Minute, rng))
+}
+
+// Guards against a version or server that takes work although a row says out or gives weight 0.
+func TestRowsTakeOut(t *testing.T) {
+	row := func(k table.Kind, name string, w ident.Weight, st table.State) *table.Table {
+		return &table.Table{Rows: []table.Row{{Kind: k, Name: name, Weight: w, State: st}}}
+	}
+	for _, c := range []struct {
+		name   string
+		table  *table.Table
+		weight ident.Weight
+		ok     bool
+	}{
+		{"no rows", new(table.Table), 100, true},
+		{"server weight", row(table.KindServer, "s", 50, table.StateActive), 50, true},
+		{"domain weight", row(table.KindDomain, "d", 300, table.StateActive), 300, true},
+		{"version weight is no server weight", row(table.KindVersion, "v", 5, table.StateActive), 100, true},
+		{"server out", row(table.KindServer, "s", 100, table.StateOut), 100, false},
+		{"domain out", row(table.KindDomain, "d", 100, table.StateOut), 100, false},
+		{"version out", row(table.KindVersion, "v", 100, table.StateOut), 100, false},
+		{"version weight 0", row(table.KindVersion, "v", 0, table.StateActive), 100, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w, ok := route.Rows(c.table, "s", "d", "v")
+			require.Equal(t, c.ok, ok)
+			require.Equal(t, c.weight, w)
+			require.Equal(t, c.name == "version out" || c.name == "version weight 0", route.VersionWeight(c.table, "v") == 0)
+		})
+	}
+}
--- a/goldcreststand/internal/cmd/servecmd.go
+++ b/goldcreststand/internal/cmd/servecmd.go
@@ -51,9 +51,11 @@
 	defer stop()
 	go loop.Run(control)
 	go w.Run(control, loop)
+	admission := proxy.NewAdmission(loop, route.Proportional{}, boot.Clock{})
+	go admission.Run(control, loop.Published())
 	traffic := proxy.New(proxy.Options{
 		Timeout: s.Traffic.Timeout.Std(), Maximum: s.Traffic.Maximum.Std(), Lifetime: s.Place.Lifetime.Std(),
-	}, loop, route.LeastLoaded{}, boot.Clock{})
+	}, loop, admission, boot.Clock{})
 	servers := []*listener{
 		newListener("traffic", s.Traffic.Address.String(), traffic),
 		newListener("admin", s.Admin.Address.String(), admin.New(s.Name, s.Domain, loop)),
@@ -62,6 +64,7 @@
 	stop()
 	<-loop.Done()
 	<-w.Done()
+	<-admission.Done()
 	return err
 }
 
--- a/goldcreststand/internal/ctrl/loop.go
+++ b/goldcreststand/internal/ctrl/loop.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"goldcreststand.example/core/limit"
 	"goldcreststand.example/core/route"
 )
 
@@ -19,7 +20,7 @@
 	// tickInterval is the time between two ticks. Decisions on time are at most this late.
 	tickInterval = 100 * time.Millisecond
 	// validity is the time for which traffic may act on a snapshot without news from control.
-	validity = 2 * time.Second
+	validity = limit.StallLimit
 )
 
 // Event is something that control learns. It changes the state and returns what is to be done.
@@ -42,24 +43,27 @@
 
 // Loop is the control goroutine's handle for everyone else.
 type Loop struct {
-	clock    clockwork.Clock
-	elapsed  ElapsedClock
-	exec     Executor
-	events   chan Event
-	done     chan struct{}
-	snapshot atomic.Pointer[route.Snapshot]
-	state    *state
+	clock   clockwork.Clock
+	elapsed ElapsedClock
+	exec    Executor
+	events  chan Event
+	done    chan struct{}
+	// published holds a token after a snapshot was published.
+	published chan struct{}
+	snapshot  atomic.Pointer[route.Snapshot]
+	state     *state
 }
 
 // New returns a loop that has not started. The executor gets all actions.
 func New(self Self, clock clockwork.Clock, elapsed ElapsedClock, exec Executor) *Loop {
 	l := &Loop{
-		clock:   clock,
-		elapsed: elapsed,
-		exec:    exec,
-		events:  make(chan Event, queueLength),
-		done:    make(chan struct{}),
-		state:   newState(self),
+		clock:     clock,
+		elapsed:   elapsed,
+		exec:      exec,
+		events:    make(chan Event, queueLength),
+		done:      make(chan struct{}),
+		published: make(chan struct{}, 1),
+		state:     newState(self),
 	}
 	l.publish()
 	return l
@@ -68,6 +72,9 @@
 // Done is closed when Run has returned.
 func (l *Loop) Done() <-chan struct{} { return l.done }
 
+// Published gets a value when snapshots were published since it was last read. It has one reader.
+func (l *Loop) Published() <-chan struct{} { return l.published }
+
 // Load returns the newest snapshot; it is never nil.
 func (l *Loop) Load() *route.Snapshot { return l.snapshot.Load() }
 
@@ -125,7 +132,12 @@
 }
 
 func (l *Loop) publish() {
+	l.state.boot = l.elapsed.Elapsed()
 	s := l.state.snapshot()
-	s.ValidUntil = l.elapsed.Elapsed() + validity
+	s.ValidUntil = l.state.boot + validity
 	l.snapshot.Store(s)
+	select {
+	case l.published <- struct{}{}:
+	default:
+	}
 }
--- /dev/null
+++ b/goldcreststand/internal/ctrl/shares.go
@@ -0,0 +1,81 @@
+package ctrl
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/limit"
+	"goldcreststand.example/core/place"
+	"goldcreststand.example/core/roster"
+	"goldcreststand.example/core/table"
+)
+
+// shares is the control state for the division of a service's slots between the instances.
+type shares struct {
+	splitter limit.Splitter
+	ledger   *limit.Ledger
+	// serving are the instances that serve the service, in placement order.
+	serving []place.Node
+	// since is the boot-time clock's reading from which on an instance has been serving.
+	since map[ident.InstanceID]time.Duration
+	// plan follows from serving, table and listing.
+	plan    map[ident.InstanceID]limit.Shares
+	table   *table.Table
+	listing *roster.Listing
+}
+
+func newShares() *shares {
+	return &shares{splitter: limit.Near{}, ledger: limit.NewLedger(), since: make(map[ident.InstanceID]time.Duration)}
+}
+
+// update brings the plan and the shares in force up to date. It is called for every snapshot.
+func (sh *shares) update(now time.Duration, self ident.InstanceID, s *service, serving []place.Node) {
+	if sh.plan == nil || sh.table != s.table || sh.listing != s.listing || !slices.Equal(sh.serving, serving) {
+		sh.replan(now, s, serving)
+	}
+	sh.ledger.Observe(now, sh.plan[self])
+}
+
+func (sh *shares) replan(now time.Duration, s *service, serving []place.Node) {
+	sh.table, sh.listing, sh.serving = s.table, s.listing, serving
+	var servers []roster.Server
+	if s.listing != nil {
+		servers = s.listing.Servers
+	}
+	sh.plan = sh.splitter.Split(s.table.Service, limit.Caps(s.table, servers), serving)
+	maps.DeleteFunc(sh.since, func(id ident.InstanceID, _ time.Duration) bool {
+		return !slices.ContainsFunc(serving, func(n place.Node) bool { return n.ID == id })
+	})
+	for _, n := range serving {
+		if _, ok := sh.since[n.ID]; !ok {
+			sh.since[n.ID] = now
+		}
+	}
+}
+
+// ready returns the serving instances that have shares in force as far as this one knows, or all of
+// them when there is none. An instance that has just joined would let calls wait for TakeDelay.
+func (sh *shares) ready(now time.Duration) []place.Node {
+	var out []place.Node
+	for _, n := range sh.serving {
+		if now-sh.since[n.ID] >= limit.TakeDelay && len(sh.plan[n.ID]) > 0 {
+			out = append(out, n)
+		}
+	}
+	if len(out) == 0 {
+		return sh.serving
+	}
+	return out
+}
+
+// entries returns the traffic addresses of the nodes.
+func (st *state) entries(nodes []place.Node) []netip.AddrPort {
+	out := make([]netip.AddrPort, len(nodes))
+	for i, n := range nodes {
+		out[i] = st.addresses[n.ID]
+	}
+	return out
+}
--- /dev/null
+++ b/goldcreststand/internal/ctrl/shares_test.go
@@ -0,0 +1,116 @@
+package ctrl
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/limit"
+	"goldcreststand.example/core/place"
+	"goldcreststand.example/core/roster"
+	"goldcreststand.example/core/route"
+	"goldcreststand.example/core/table"
+)
+
+// fleetOf returns the control states of instances in four failure domains, which know each other.
+func fleetOf(n int, list *roster.Listing, t *table.Table) []*state {
+	nodes := make([]place.Node, n)
+	addresses := make(map[ident.InstanceID]netip.AddrPort)
+	for i := range nodes {
+		nodes[i] = place.Node{ID: ident.InstanceID(fmt.Sprintf("i%d", i)), Domain: ident.DomainName(fmt.Sprintf("d%d", i%4))}
+		addresses[nodes[i].ID] = netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1))
+	}
+	out := make([]*state, n)
+	for i, node := range nodes {
+		out[i] = newState(Self{ID: node.ID, Domain: node.Domain, Count: 4})
+		out[i].nodes, out[i].addresses = nodes, addresses
+		TableSeen{Table: t}.apply(out[i])
+		ListingSeen{Listing: list}.apply(out[i])
+	}
+	return out
+}
+
+func listing(n int, slots ident.Slots) *roster.Listing {
+	l := &roster.Listing{Service: "svc", Revision: 1}
+	for i := range n {
+		l.Servers = append(l.Servers, roster.Server{
+			ID: ident.ServerID(fmt.Sprintf("s%d", i)), Domain: ident.DomainName(fmt.Sprintf("d%d", i%4)), Version: "v1", Slots: slots,
+		})
+	}
+	return l
+}
+
+// slotsAt publishes at all instances every second up to the time and returns the last snapshots.
+func slotsAt(fleet []*state, from, to time.Duration) []*route.Service {
+	out := make([]*route.Service, len(fleet))
+	for at := from; at <= to; at += time.Second {
+		for i, st := range fleet {
+			st.boot = at
+			out[i] = st.snapshot().Services["svc"]
+		}
+	}
+	return out
+}
+
+// Guards against an instance that uses slots as soon as it has started, against slots that nobody uses
+// later, and against callers that are sent to instances without slots.
+func TestSharesComeIntoForce(t *testing.T) {
+	fleet := fleetOf(6, listing(18, 3), &table.Table{Service: "svc", Revision: 1})
+	for _, s := range slotsAt(fleet, 0, limit.TakeDelay-time.Second) {
+		require.Zero(t, s.Slots())
+		require.Len(t, s.Entries, 4)
+	}
+	var sum ident.Slots
+	for _, s := range slotsAt(fleet, limit.TakeDelay, limit.TakeDelay+time.Second) {
+		require.Equal(t, s.Local, s.Slots() > 0)
+		sum += s.Slots()
+	}
+	require.Equal(t, ident.Slots(54), sum)
+	joined := &state{}
+	*joined = *fleet[0]
+	for _, st := range fleet {
+		st.nodes = st.nodes[:3]
+	}
+	slotsAt(fleet, 8*time.Second, 20*time.Second)
+	for _, st := range fleet {
+		st.nodes = joined.nodes
+	}
+	for _, s := range slotsAt(fleet, 21*time.Second, 25*time.Second) {
+		require.Len(t, s.Entries, 3, "an instance that has just joined has no slots yet")
+	}
+	for _, s := range slotsAt(fleet, 26*time.Second, 27*time.Second) {
+		require.Len(t, s.Entries, 4)
+	}
+}
+
+// Guards against a failure domain out of service whose servers keep slots, and against limits that the
+// remaining servers exceed.
+func TestDomainOutKeepsLimits(t *testing.T) {
+	fleet := fleetOf(8, listing(18, 4), &table.Table{Service: "svc", Revision: 1})
+	slotsAt(fleet, 0, 10*time.Second)
+	for _, st := range fleet {
+		TableSeen{Table: &table.Table{Service: "svc", Revision: 2, Rows: []table.Row{
+			{Kind: table.KindDomain, Name: "d1", Weight: 100, State: table.StateOut},
+			{Kind: table.KindDomain, Name: "d2", Weight: 100, Limit: 6},
+			{Kind: table.KindService, Name: "svc", Weight: 100, Limit: 40},
+		}}}.apply(st)
+	}
+	for _, p := range [][2]time.Duration{{11 * time.Second, 11 * time.Second}, {12 * time.Second, 30 * time.Second}} {
+		sums := make(map[ident.DomainName]ident.Slots)
+		var all ident.Slots
+		for _, s := range slotsAt(fleet, p[0], p[1]) {
+			for _, srv := range s.Servers {
+				sums[srv.Domain] += srv.Share
+				all += srv.Share
+			}
+		}
+		require.Zero(t, sums["d1"])
+		require.LessOrEqual(t, sums["d2"], ident.Slots(6))
+		require.LessOrEqual(t, all, ident.Slots(40))
+		require.Positive(t, all)
+	}
+}
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/limit"
 	"goldcreststand.example/core/place"
 	"goldcreststand.example/core/roster"
 	"goldcreststand.example/core/route"
@@ -22,8 +24,10 @@
 
 // state is all control state. Only the control goroutine touches it.
 type state struct {
-	self  Self
-	now   time.Time
+	self Self
+	now  time.Time
+	// boot is the boot-time clock's reading, which runs during a pause.
+	boot  time.Duration
 	nodes []place.Node
 	// addresses holds the traffic address of each known instance.
 	addresses map[ident.InstanceID]netip.AddrPort
@@ -35,6 +39,7 @@
 	table   *table.Table
 	listing *roster.Listing
 	loads   map[ident.ServerID]*route.Load
+	shares  *shares
 }
 
 func newState(self Self) *state {
@@ -50,7 +55,7 @@
 func (st *state) service(n ident.ServiceName) *service {
 	s, ok := st.services[n]
 	if !ok {
-		s = &service{loads: make(map[ident.ServerID]*route.Load)}
+		s = &service{loads: make(map[ident.ServerID]*route.Load), shares: newShares()}
 		st.services[n] = s
 	}
 	return s
@@ -69,24 +74,24 @@
 
 func (st *state) serviceSnapshot(n ident.ServiceName, s *service) *route.Service {
 	out := &route.Service{Name: n, Revision: s.table.Revision}
-	serving := place.Serving(n, st.nodes, st.self.Count)
-	for _, node := range serving {
-		out.Entries = append(out.Entries, st.addresses[node.ID])
-		out.Local = out.Local || node.ID == st.self.ID
-	}
+	s.shares.update(st.boot, st.self.ID, s, limit.Serving(s.table, n, st.nodes, st.self.Count))
+	ready := s.shares.ready(st.boot)
+	out.Entries = st.entries(ready)
+	out.Local = slices.ContainsFunc(ready, func(n place.Node) bool { return n.ID == st.self.ID })
 	if !out.Local || s.listing == nil {
 		return out
 	}
 	for _, b := range s.listing.Servers {
-		if srv := s.server(b, len(serving)); srv != nil {
+		if srv := s.server(b); srv != nil {
 			out.Servers = append(out.Servers, srv)
 		}
 	}
+	out.Group(func(v ident.VersionName) ident.Weight { return route.VersionWeight(s.table, v) })
 	return out
 }
 
 // server returns the backend server as this instance may use it, or nil when it takes no work.
-func (s *service) server(b roster.Server, serving int) *route.Server {
+func (s *service) server(b roster.Server) *route.Server {
 	w, ok := route.Rows(s.table, b.ID, b.Domain, b.Version)
 	if !ok || b.Leaving {
 		return nil
@@ -98,6 +103,6 @@
 	}
 	return &route.Server{
 		ID: b.ID, Address: b.Address, Domain: b.Domain, Version: b.Version, Weight: w,
-		Share: max(1, b.Slots/ident.Slots(serving)), Load: l,
+		Share: s.shares.ledger.Share(b.ID), Load: l,
 	}
 }
--- /dev/null
+++ b/goldcreststand/internal/proxy/admission_test.go
@@ -0,0 +1,173 @@
+package proxy
+
+import (
+	"context"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/limit"
+	"goldcreststand.example/core/route"
+)
+
+// world is a snapshot of one service that tests change, with a clock that stands still.
+type world struct {
+	snapshot atomic.Pointer[route.Snapshot]
+	loads    []*route.Load
+}
+
+func newWorld(servers int, share ident.Slots) *world {
+	w := &world{loads: make([]*route.Load, servers)}
+	for i := range w.loads {
+		w.loads[i] = new(route.Load)
+	}
+	w.publish(share)
+	return w
+}
+
+func (w *world) Load() *route.Snapshot { return w.snapshot.Load() }
+
+func (w *world) Elapsed() time.Duration { return time.Minute }
+
+func (w *world) publish(share ident.Slots) {
+	svc := &route.Service{Name: "svc", Local: true}
+	for i, l := range w.loads {
+		svc.Servers = append(svc.Servers, &route.Server{ID: ident.ServerID([]byte{'a' + byte(i)}), Version: "v1", Weight: 100, Share: share, Load: l})
+	}
+	svc.Group(func(ident.VersionName) ident.Weight { return route.DefaultWeight })
+	w.snapshot.Store(&route.Snapshot{ValidUntil: time.Hour, Services: map[ident.ServiceName]*route.Service{"svc": svc}})
+}
+
+func (w *world) service() *route.Service { return w.Load().Services["svc"] }
+
+func (w *world) call(tenant ident.TenantName) limit.Call {
+	return limit.Call{Tenant: tenant, Class: limit.DefaultClass, Deadline: w.Elapsed() + time.Minute}
+}
+
+func (w *world) inflight() (n ident.Slots) {
+	for _, l := range w.loads {
+		n += l.Inflight()
+	}
+	return n
+}
+
+// awaitWaiting returns when n calls wait.
+func awaitWaiting(a *Admission, n int32) {
+	for a.lane("svc").waiting.Load() != n {
+		runtime.Gosched()
+	}
+}
+
+// Guards against a call that stays in the queue although a slot was freed, or although control added one.
+func TestWaitingCallGetsSlot(t *testing.T) {
+	w := newWorld(1, 1)
+	a := NewAdmission(w, route.Proportional{}, w)
+	published := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go a.Run(ctx, published)
+	first, err := a.Acquire(ctx, w.service(), w.call("a"))
+	require.NoError(t, err)
+	got := make(chan *Slot)
+	acquire := func() {
+		s, err := a.Acquire(ctx, w.service(), w.call("a"))
+		if err == nil {
+			got <- s
+		}
+	}
+	go acquire()
+	awaitWaiting(a, 1)
+	require.Nil(t, a.Try(w.service(), w.service().Servers), "a further try must not overtake waiting calls")
+	first.Release(route.Outcome{})
+	second := <-got
+	go acquire()
+	awaitWaiting(a, 1)
+	w.publish(2)
+	published <- struct{}{}
+	third := <-got
+	require.Equal(t, ident.Slots(2), w.inflight())
+	second.Release(route.Outcome{})
+	third.Release(route.Outcome{})
+	require.Zero(t, w.inflight())
+	cancel()
+	<-a.Done()
+}
+
+// Guards against a slot that is lost, or a call that stays, when the caller goes away while it waits.
+func TestCanceledCallLeavesQueue(t *testing.T) {
+	w := newWorld(1, 1)
+	a := NewAdmission(w, route.Proportional{}, w)
+	held, err := a.Acquire(t.Context(), w.service(), w.call("a"))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	failed := make(chan error)
+	go func() {
+		_, err := a.Acquire(ctx, w.service(), w.call("a"))
+		failed <- err
+	}()
+	awaitWaiting(a, 1)
+	cancel()
+	require.ErrorIs(t, <-failed, context.Canceled)
+	require.Zero(t, a.lane("svc").waiting.Load())
+	held.Release(route.Outcome{})
+	require.Zero(t, w.inflight())
+}
+
+// Guards against more calls in flight than slots, lost wake-ups and lost slots while many goroutines
+// acquire, release and give up.
+func TestAdmissionUnderContention(t *testing.T) {
+	w := newWorld(3, 2)
+	a := NewAdmission(w, route.Proportional{}, w)
+	var wg sync.WaitGroup
+	var served, gone atomic.Int32
+	for i := range 64 {
+		wg.Go(func() {
+			for j := range 50 {
+				ctx, cancel := context.WithCancel(t.Context())
+				if (i+j)%7 == 0 {
+					go cancel()
+				}
+				s, err := a.Acquire(ctx, w.service(), w.call(ident.TenantName([]byte{'a' + byte(i%4)})))
+				if err != nil {
+					gone.Add(1)
+				} else {
+					if n := w.inflight(); n > 6 {
+						t.Errorf("%d calls in flight at 6 slots", n)
+					}
+					runtime.Gosched()
+					served.Add(1)
+					s.Release(route.Outcome{})
+				}
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	require.Equal(t, int32(64*50), served.Load()+gone.Load())
+	require.GreaterOrEqual(t, served.Load(), int32(64*50*6/7-64))
+	require.Zero(t, w.inflight())
+	require.Zero(t, a.lane("svc").queue.Len())
+}
+
+// Guards against header values that RFC 9218 lets callers send and that would fail the call.
+func TestParsePriority(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		values []string
+		want   limit.Class
+	}{
+		{"none", nil, 3},
+		{"urgent", []string{"u=0"}, 0},
+		{"with another parameter", []string{"u=5, i"}, 5},
+		{"two headers", []string{"u=5", "u=1"}, 1},
+		{"out of range", []string{"u=8"}, 3},
+		{"negative", []string{"u=-1"}, 3},
+		{"nonsense", []string{";;=u"}, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, parsePriority(c.values)) })
+	}
+}
--- a/goldcreststand/internal/proxy/call.go
+++ b/goldcreststand/internal/proxy/call.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/limit"
 )
 
 // Headers of the caller's contract.
@@ -28,6 +29,7 @@
 type call struct {
 	service    ident.ServiceName
 	tenant     ident.TenantName
+	class      limit.Class
 	timeout    time.Duration
 	idempotent bool
 }
@@ -35,6 +37,7 @@
 // parseCall reads the headers of a caller's request.
 func parseCall(r *http.Request, timeout, maximum time.Duration) (call, error) {
 	c := call{timeout: timeout, idempotent: safeMethod(r.Method) || r.Header.Get(headerIdempotent) == "?1"}
+	c.class = parsePriority(r.Header.Values(headerPriority))
 	host, _, err := net.SplitHostPort(r.Host)
 	if err != nil {
 		host = r.Host
--- a/goldcreststand/internal/proxy/handler.go
+++ b/goldcreststand/internal/proxy/handler.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/limit"
 	"goldcreststand.example/core/route"
 	"goldcreststand.example/schema/wire"
 )
@@ -23,11 +24,6 @@
 	Load() *route.Snapshot
 }
 
-// Picker chooses a backend server and takes a slot there. It returns nil when no slot is free.
-type Picker interface {
-	Pick(servers []*route.Server, rng *rand.Rand) *route.Server
-}
-
 // ElapsedClock reads the time since the machine's start, pauses included.
 type ElapsedClock interface {
 	Elapsed() time.Duration
@@ -47,17 +43,17 @@
 type Handler struct {
 	opts      Options
 	snapshots Snapshots
-	picker    Picker
+	admission *Admission
 	elapsed   ElapsedClock
 	transport http.RoundTripper
 }
 
 // New returns the HTTP interface for callers.
-func New(opts Options, s Snapshots, p Picker, elapsed ElapsedClock) http.Handler {
+func New(opts Options, s Snapshots, a *Admission, elapsed ElapsedClock) http.Handler {
 	h := &Handler{
 		opts:      opts,
 		snapshots: s,
-		picker:    p,
+		admission: a,
 		elapsed:   elapsed,
 		// A transport that reuses connections may resend a request by itself.
 		transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
@@ -98,20 +94,26 @@
 	if !ok {
 		return echo.NewHTTPError(http.StatusNotFound, "unknown service")
 	}
-	srv := h.picker.Pick(svc.Servers, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	if srv == nil {
-		return reject(c, "connection_limit_reached")
-	}
-	defer srv.Load.Release()
 	ctx, cancel := context.WithTimeout(req.Context(), call.timeout)
 	defer cancel()
+	deadline := h.elapsed.Elapsed() + call.timeout
+	slot, err := h.admission.Acquire(ctx, svc, limit.Call{Tenant: call.tenant, Class: call.class, Deadline: deadline})
+	if err != nil {
+		return rejectCall(c, err)
+	}
 	out := req.Clone(ctx)
-	out.URL.Scheme, out.URL.Host, out.RequestURI = "http", srv.Address.String(), ""
-	out.Header.Set(headerTimeout, strconv.FormatInt(call.timeout.Milliseconds(), 10))
+	out.URL.Scheme, out.URL.Host, out.RequestURI = "http", slot.Server.Address.String(), ""
+	out.Header.Set(headerTimeout, strconv.FormatInt(max(1, (deadline-h.elapsed.Elapsed()).Milliseconds()), 10))
 	resp, err := h.transport.RoundTrip(out)
 	if err != nil {
+		slot.Release(route.Outcome{Result: route.ResultBroken})
 		return unknown(c)
 	}
+	result := route.ResultOK
+	if resp.StatusCode >= http.StatusInternalServerError {
+		result = route.ResultFailed
+	}
+	defer slot.Release(route.Outcome{Result: result})
 	return copyResponse(c, resp)
 }
 
@@ -129,11 +131,24 @@
 	return nil
 }
 
+// rejectCall answers that the call got no slot and was not executed.
+func rejectCall(c echo.Context, err error) error {
+	var r *RejectError
+	if errors.As(err, &r) && r.Verdict == limit.VerdictTenant {
+		return rejectWith(c, http.StatusTooManyRequests, "connection_limit_reached")
+	}
+	return reject(c, "connection_limit_reached")
+}
+
 // reject answers that the call was rejected and not executed.
 func reject(c echo.Context, cause string) error {
+	return rejectWith(c, http.StatusServiceUnavailable, cause)
+}
+
+func rejectWith(c echo.Context, status int, cause string) error {
 	c.Response().Header().Set("Retry-After", "1")
 	c.Response().Header().Set(headerProxyStatus, "goldcreststand; error="+cause+"; executed=no")
-	return c.NoContent(http.StatusServiceUnavailable)
+	return c.NoContent(status)
 }
 
 // unknown answers that the call may have been executed.
