--- a/goldcreststand/internal/cmd/servecmd.go
+++ b/goldcreststand/internal/cmd/servecmd.go
@@ -65,9 +65,11 @@
 	if err := startPeer(control, s, link, logs.Part(log, "peer")); err != nil {
 		return err
 	}
+	admission := proxy.NewAdmission(loop, route.Proportional{}, boot.Clock{})
+	go admission.Run(control, loop.Published())
 	traffic := proxy.New(proxy.Options{
 		Timeout: s.Traffic.Timeout.Std(), Maximum: s.Traffic.Maximum.Std(), Lifetime: s.Place.Lifetime.Std(),
-	}, loop, route.LeastLoaded{}, boot.Clock{})
+	}, loop, admission, boot.Clock{})
 	servers := []*listener{
 		newListener("traffic", s.Traffic.Address.String(), traffic),
 		newListener("admin", s.Admin.Address.String(), admin.New(s.Name, s.Domain, loop)),
@@ -78,6 +80,7 @@
 	<-w.Done()
 	<-x.Done()
 	<-link.Done()
+	<-admission.Done()
 	return err
 }
 
