--- a/fakeplatform/internal/cmd/servecmd.go
+++ b/fakeplatform/internal/cmd/servecmd.go
@@ -11,8 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"goldcreststand.example/fakeplatform/internal/fault"
-	"goldcreststand.example/fakeplatform/internal/store"
+	"goldcreststand.example/fakeplatform/server"
 	"goldcreststand.example/lib/cli"
 )
 
@@ -38,8 +37,7 @@
 		return err
 	}
 	_, _ = fmt.Fprintf(cfg.Out, "fakeplatform: listening on %s\n", l.Addr())
-	clock := clockwork.NewRealClock()
-	srv := &http.Server{Handler: store.NewHandler(store.New(clock), clock, fault.New(clock)), ReadHeaderTimeout: time.Minute}
+	srv := &http.Server{Handler: server.New(clockwork.NewRealClock()), ReadHeaderTimeout: time.Minute}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
