--- a/goldcreststand/internal/cmd/servecmd.go
+++ b/goldcreststand/internal/cmd/servecmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"flag"
 	"math/rand/v2"
 	"net"
@@ -23,6 +24,7 @@
 	"goldcreststand.example/lib/cli"
 	"goldcreststand.example/lib/logs"
 	"goldcreststand.example/lib/plat"
+	"goldcreststand.example/lib/stats"
 	"goldcreststand.example/schema/config"
 	"goldcreststand.example/schema/wire"
 )
@@ -57,6 +59,8 @@
 	x := fetch.New(s.Name, link, logs.Part(log, "fetch"))
 	link.ServeFetch(x)
 	loop := ctrl.New(newSelf(s), clock, boot.Clock{}, &executor{watcher: w, exchange: x})
+	metrics := stats.New()
+	expvar.Publish("calls", metrics)
 	control, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go loop.Run(control)
@@ -69,7 +73,10 @@
 	go admission.Run(control, loop.Published())
 	traffic := proxy.New(proxy.Options{
 		Timeout: s.Traffic.Timeout.Std(), Maximum: s.Traffic.Maximum.Std(), Lifetime: s.Place.Lifetime.Std(),
-	}, loop, admission, boot.Clock{})
+		Buffer: s.Traffic.Buffer, Resend: s.Traffic.Resend,
+	}, loop, admission, boot.Clock{}, proxy.WithClock(clock), proxy.WithMetrics(metrics),
+		proxy.WithLog(logs.Part(log, "proxy")), proxy.WithSink(&outcomeSink{loop: loop}))
+	go traffic.Run(control)
 	servers := []*listener{
 		newListener("traffic", s.Traffic.Address.String(), traffic),
 		newListener("admin", s.Admin.Address.String(), admin.New(s.Name, s.Domain, loop)),
@@ -81,6 +88,7 @@
 	<-x.Done()
 	<-link.Done()
 	<-admission.Done()
+	<-traffic.Done()
 	return err
 }
 
@@ -138,6 +146,18 @@
 	return &wire.Pong{Sender: s.id}, nil
 }
 
+// outcomeSink hands the outcomes of traffic to control.
+type outcomeSink struct {
+	loop *ctrl.Loop
+}
+
+var _ proxy.Sink = (*outcomeSink)(nil)
+
+// Offer posts the batch when control has room for it.
+func (s *outcomeSink) Offer(batch []route.Outcome) bool {
+	return s.loop.TryPost(ctrl.OutcomesSeen{Outcomes: batch})
+}
+
 // newListener returns a listener that has not started.
 func newListener(name, address string, h http.Handler) *listener {
 	return &listener{name: name, srv: &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout}}
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -122,5 +122,7 @@
 	return &route.Server{
 		ID: b.ID, Address: b.Address, Domain: b.Domain, Version: b.Version, Weight: w,
 		Share: s.shares.ledger.Share(b.ID), Load: l,
+		// One part more than there are instances leaves room for those that served until lately.
+		Connections: max(2, b.Connections/(len(s.shares.serving)+1)),
 	}
 }
--- a/goldcreststand/internal/proxy/admission.go
+++ b/goldcreststand/internal/proxy/admission.go
@@ -73,15 +73,20 @@
 	return l.wait(ctx, svc, v, c)
 }
 
-// Try returns a slot for a further try of a call, at one of the servers, without waiting, or nil. It
-// leaves free slots to calls that wait.
-func (a *Admission) Try(svc *route.Service, servers []*route.Server) *Slot {
+// Try returns a slot for a further try of a call, without waiting, or nil. It draws the version by weight
+// like a first try, so that retries do not raise the share of a version in rollout. It leaves free slots
+// to calls that wait.
+func (a *Admission) Try(svc *route.Service, tried func(*route.Server) bool) *Slot {
 	l := a.lane(svc.Name)
 	if l.waiting.Load() > 0 {
 		return nil
 	}
-	now := a.elapsed.Elapsed()
-	return l.slot(a.picker.Pick(servers, now, rand.New(source{})), now)
+	rest := svc.Without(tried)
+	v := rest.Draw(rand.New(source{}))
+	if v == nil {
+		return nil
+	}
+	return l.pick(rest, v)
 }
 
 func (a *Admission) lane(n ident.ServiceName) *lane {
