--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -1,10 +1,14 @@
 package ctrl
 
 import (
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
+	"goldcreststand.example/core/dist"
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/limit"
 	"goldcreststand.example/core/place"
 	"goldcreststand.example/core/roster"
 	"goldcreststand.example/core/route"
@@ -18,23 +22,36 @@
 	Traffic netip.AddrPort
 	// Count is the number of instances that serve a service.
 	Count int
+	// Dist sets the distribution of tables, lists and statuses.
+	Dist dist.Config
+	// Seed is the seed of random choices.
+	Seed uint64
 }
 
 // state is all control state. Only the control goroutine touches it.
 type state struct {
-	self  Self
-	now   time.Time
+	self Self
+	now  time.Time
+	// boot is the boot-time clock's reading, which runs during a pause.
+	boot  time.Duration
 	nodes []place.Node
 	// addresses holds the traffic address of each known instance.
 	addresses map[ident.InstanceID]netip.AddrPort
-	services  map[ident.ServiceName]*service
+	// peers holds the peer address of each known instance.
+	peers    map[ident.InstanceID]netip.AddrPort
+	services map[ident.ServiceName]*service
+	dist     *dist.Core
+	// distNodes are the instances that dist knows of.
+	distNodes []place.Node
 }
 
 // service is the control state of one service.
 type service struct {
 	table   *table.Table
 	listing *roster.Listing
+	status  *table.Status
 	loads   map[ident.ServerID]*route.Load
+	shares  *shares
 }
 
 func newState(self Self) *state {
@@ -42,7 +59,9 @@
 		self:      self,
 		nodes:     []place.Node{{ID: self.ID, Domain: self.Domain}},
 		addresses: map[ident.InstanceID]netip.AddrPort{self.ID: self.Traffic},
+		peers:     make(map[ident.InstanceID]netip.AddrPort),
 		services:  make(map[ident.ServiceName]*service),
+		dist:      dist.New(self.ID, self.Dist, rand.New(rand.NewPCG(self.Seed, 0))),
 	}
 }
 
@@ -50,7 +69,7 @@
 func (st *state) service(n ident.ServiceName) *service {
 	s, ok := st.services[n]
 	if !ok {
-		s = &service{loads: make(map[ident.ServerID]*route.Load)}
+		s = &service{loads: make(map[ident.ServerID]*route.Load), shares: newShares()}
 		st.services[n] = s
 	}
 	return s
@@ -60,33 +79,37 @@
 func (st *state) snapshot() *route.Snapshot {
 	out := &route.Snapshot{Services: make(map[ident.ServiceName]*route.Service, len(st.services))}
 	for n, s := range st.services {
-		if s.table != nil {
-			out.Services[n] = st.serviceSnapshot(n, s)
-		}
+		out.Services[n] = st.serviceSnapshot(n, s)
 	}
 	return out
 }
 
 func (st *state) serviceSnapshot(n ident.ServiceName, s *service) *route.Service {
-	out := &route.Service{Name: n, Revision: s.table.Revision}
-	serving := place.Serving(n, st.nodes, st.self.Count)
-	for _, node := range serving {
-		out.Entries = append(out.Entries, st.addresses[node.ID])
-		out.Local = out.Local || node.ID == st.self.ID
+	out := &route.Service{Name: n}
+	if s.table == nil || s.listing == nil {
+		// Without them this instance passes calls on to others that serve the service.
+		out.Entries = st.entries(place.Serving(n, st.nodes, st.self.Count))
+		return out
 	}
-	if !out.Local || s.listing == nil {
+	out.Revision = s.table.Revision
+	s.shares.update(st.boot, st.self.ID, s, limit.Serving(s.table, n, st.nodes, st.self.Count))
+	ready := s.shares.ready(st.boot)
+	out.Entries = st.entries(ready)
+	out.Local = slices.ContainsFunc(ready, func(n place.Node) bool { return n.ID == st.self.ID })
+	if !out.Local {
 		return out
 	}
 	for _, b := range s.listing.Servers {
-		if srv := s.server(b, len(serving)); srv != nil {
+		if srv := s.server(b); srv != nil {
 			out.Servers = append(out.Servers, srv)
 		}
 	}
+	out.Group(func(v ident.VersionName) ident.Weight { return route.VersionWeight(s.table, v) })
 	return out
 }
 
 // server returns the backend server as this instance may use it, or nil when it takes no work.
-func (s *service) server(b roster.Server, serving int) *route.Server {
+func (s *service) server(b roster.Server) *route.Server {
 	w, ok := route.Rows(s.table, b.ID, b.Domain, b.Version)
 	if !ok || b.Leaving {
 		return nil
@@ -98,8 +121,8 @@
 	}
 	return &route.Server{
 		ID: b.ID, Address: b.Address, Domain: b.Domain, Version: b.Version, Weight: w,
-		Share: max(1, b.Slots/ident.Slots(serving)), Load: l,
+		Share: s.shares.ledger.Share(b.ID), Load: l,
 		// One part more than there are instances leaves room for those that served until lately.
-		Connections: max(2, b.Connections/(serving+1)),
+		Connections: max(2, b.Connections/(len(s.shares.serving)+1)),
 	}
 }
--- a/goldcreststand/internal/proxy/call.go
+++ b/goldcreststand/internal/proxy/call.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/limit"
 )
 
 // Headers of the caller's contract.
@@ -19,7 +20,6 @@
 	headerTimeout     = "Request-Timeout"
 	headerIdempotent  = "Idempotent"
 	headerTenant      = "Tenant"
-	headerPriority    = "Priority"
 	headerProxyStatus = "Proxy-Status"
 )
 
@@ -30,9 +30,6 @@
 	headerLoad     = "Load"
 )
 
-// defaultClass is the priority class of a call that names none (RFC 9218, section 4.1).
-const defaultClass = 3
-
 // ErrCall is the class of invalid calls.
 var ErrCall = errs.Class("invalid call")
 
@@ -41,7 +38,7 @@
 	service    ident.ServiceName
 	tenant     ident.TenantName
 	route      ident.RouteName
-	class      int
+	class      limit.Class
 	timeout    time.Duration
 	idempotent bool
 }
@@ -51,7 +48,7 @@
 	c := call{
 		timeout:    timeout,
 		idempotent: safeMethod(r.Method) || r.Header.Get(headerIdempotent) == "?1",
-		class:      parseClass(r.Header.Get(headerPriority)),
+		class:      parsePriority(r.Header.Values(headerPriority)),
 		route:      parseRoute(r.URL.Path),
 	}
 	host, _, err := net.SplitHostPort(r.Host)
@@ -76,18 +73,6 @@
 	return c, nil
 }
 
-// parseClass reads the urgency of a Priority header. A header that cannot be read is ignored, as RFC
-// 9218 asks.
-func parseClass(v string) int {
-	for _, part := range strings.Split(v, ",") {
-		u, ok := strings.CutPrefix(strings.TrimSpace(part), "u=")
-		if ok && len(u) == 1 && u[0] >= '0' && u[0] <= '7' {
-			return int(u[0] - '0')
-		}
-	}
-	return defaultClass
-}
-
 // parseRoute returns the first segment of the path, or no route when it is not a valid name.
 func parseRoute(path string) ident.RouteName {
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
--- a/goldcreststand/internal/proxy/forward.go
+++ b/goldcreststand/internal/proxy/forward.go
@@ -60,7 +60,7 @@
 	if x.hop {
 		x.targets = newHopTargets(svc.Entries)
 	} else {
-		x.targets = &serverTargets{h: h, service: call.service}
+		x.targets = &serverTargets{h: h, call: call, timeout: call.timeout}
 	}
 	var err error
 	x.body, err = readBody(c, call.idempotent, int64(h.opts.Buffer), x.deadline)
@@ -70,7 +70,7 @@
 	defer func() {
 		x.close()
 		h.metrics.Observe(stats.Sample{
-			Tenant: string(call.tenant), Class: strconv.Itoa(call.class), Service: string(call.service),
+			Tenant: string(call.tenant), Class: strconv.Itoa(int(call.class)), Service: string(call.service),
 			Result: x.result, Latency: h.clock.Since(x.start),
 		})
 	}()
--- a/goldcreststand/internal/proxy/handler.go
+++ b/goldcreststand/internal/proxy/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -29,11 +28,6 @@
 	Load() *route.Snapshot
 }
 
-// Picker chooses a backend server and takes a slot there. It returns nil when no slot is free.
-type Picker interface {
-	Pick(servers []*route.Server, rng *rand.Rand) *route.Server
-}
-
 // ElapsedClock reads the time since the machine's start, pauses included.
 type ElapsedClock interface {
 	Elapsed() time.Duration
@@ -57,7 +51,7 @@
 type Handler struct {
 	opts      Options
 	snapshots Snapshots
-	picker    Picker
+	admission *Admission
 	elapsed   ElapsedClock
 	clock     clockwork.Clock
 	log       Log
@@ -76,11 +70,11 @@
 var _ http.Handler = (*Handler)(nil)
 
 // New returns the HTTP interface for callers. Run must run while it serves.
-func New(opts Options, s Snapshots, p Picker, elapsed ElapsedClock, options ...Option) *Handler {
+func New(opts Options, s Snapshots, a *Admission, elapsed ElapsedClock, options ...Option) *Handler {
 	h := &Handler{
 		opts:      opts,
 		snapshots: s,
-		picker:    p,
+		admission: a,
 		elapsed:   elapsed,
 		clock:     clockwork.NewRealClock(),
 		log:       noLog{},
--- a/goldcreststand/internal/proxy/run.go
+++ b/goldcreststand/internal/proxy/run.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/errs"
 
+	"goldcreststand.example/core/limit"
 	"goldcreststand.example/core/retry"
 	"goldcreststand.example/core/route"
 )
@@ -38,7 +39,9 @@
 	// queued holds events that the driving goroutine itself has caused.
 	queued []retry.Event
 	// over is closed when no more events are taken.
-	over  chan struct{}
+	over chan struct{}
+	// first is the place for the first try.
+	first grant
 	tries []*try
 	hedge clockwork.Timer
 	out   *http.Request
@@ -73,6 +76,10 @@
 		timer.Stop()
 		stop()
 	})
+	if err := x.admit(); err != nil {
+		x.result = "rejected"
+		return nil, err
+	}
 	x.core = retry.New(x.policy(), x.svc.budget, x.deadline)
 	x.do(x.core.Handle(retry.Started{At: x.now()}))
 	done := x.ctx.Done()
@@ -87,6 +94,24 @@
 	return x.resp, x.err
 }
 
+// admit waits for the place of the first try. Without one the call was not executed.
+func (x *run) admit() error {
+	var err error
+	x.first, err = x.targets.first(x.ctx)
+	var rejected *RejectError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &rejected):
+		return &verdict{cause: retry.CauseNoServer, throttled: rejected.Verdict == limit.VerdictTenant}
+	case errors.Is(context.Cause(x.ctx), errGone):
+		return &verdict{cause: retry.CauseGone}
+	default:
+		// The deadline passed while the call waited for a slot.
+		return &verdict{cause: retry.CauseNoServer}
+	}
+}
+
 // policy returns what the call allows. The instance at the end of an extra hop sends the hedges.
 func (x *run) policy() retry.Policy {
 	p := retry.Policy{Idempotent: x.call.idempotent, Tries: maxTries}
@@ -150,8 +175,10 @@
 }
 
 func (x *run) send(a retry.Send) {
-	t := &try{x: x, n: a.Try, remaining: a.Remaining, start: x.now()}
-	t.server = x.targets.pick(x.tries)
+	t := &try{x: x, n: a.Try, remaining: a.Remaining, start: x.now(), grant: x.first}
+	if len(x.tries) > 0 {
+		t.grant = x.targets.next(x.tries)
+	}
 	x.tries = append(x.tries, t)
 	if t.server == nil {
 		x.queued = append(x.queued, retry.NoServer{At: t.start, Try: a.Try})
@@ -199,7 +226,6 @@
 	if x.hop {
 		return
 	}
-	t.outcome.Result = r
 	x.h.reporter.add(t.outcome)
 }
 
--- a/goldcreststand/internal/proxy/try.go
+++ b/goldcreststand/internal/proxy/try.go
@@ -17,9 +17,9 @@
 
 // try is one try of a call at one server.
 type try struct {
-	x         *run
-	n         retry.Try
-	server    *route.Server
+	x *run
+	n retry.Try
+	grant
 	set       *connSet
 	remaining time.Duration
 	start     time.Time
@@ -167,10 +167,11 @@
 			t.set.discard(t.conn, !t.proved)
 		}
 		t.cancel(nil)
-		t.server.Load.Release()
 		if t.outcome.Latency == 0 {
 			t.outcome.Latency = t.x.now().Sub(t.start)
 		}
+		t.outcome.Result = r
+		t.release(t.outcome)
 		t.x.ended(t, r)
 	})
 }
--- a/goldcreststand/internal/proxy/verdict.go
+++ b/goldcreststand/internal/proxy/verdict.go
@@ -27,6 +27,8 @@
 type verdict struct {
 	cause    retry.Cause
 	executed bool
+	// throttled says that the call's tenant is at its limit.
+	throttled bool
 }
 
 var _ error = (*verdict)(nil)
@@ -40,7 +42,11 @@
 		writeUnknown(w, v.cause)
 		return
 	}
-	writeReject(w, rejectError(v.cause))
+	status := http.StatusServiceUnavailable
+	if v.throttled {
+		status = http.StatusTooManyRequests
+	}
+	writeReject(w, status, rejectError(v.cause))
 }
 
 func rejectError(c retry.Cause) string {
@@ -59,10 +65,10 @@
 }
 
 // writeReject answers that the call was rejected and not executed.
-func writeReject(w http.ResponseWriter, kind string) {
+func writeReject(w http.ResponseWriter, status int, kind string) {
 	w.Header().Set("Retry-After", "1")
 	w.Header().Set(headerProxyStatus, "goldcreststand; error="+kind+"; executed=no")
-	w.WriteHeader(http.StatusServiceUnavailable)
+	w.WriteHeader(status)
 }
 
 // writeUnknown answers that the call may have been executed.
@@ -83,6 +89,6 @@
 
 // reject answers that the call was rejected and not executed.
 func reject(c echo.Context, kind string) error {
-	writeReject(c.Response(), kind)
+	writeReject(c.Response(), http.StatusServiceUnavailable, kind)
 	return nil
 }
