proxy, fakebackend: notice a pause during a dial; keep a panic from using up the connection limit

The try now compares it again once it has a connection. A dialer that panicked left its dial counted for good, so that a limit of one connection blocked all later calls. Buffered bodies can be rewound by net/http, so that an idle connection that its server closed is replaced on the same server also for calls with a body.

The control address of fakebackend has no default any more: two of them on one host would collide.

Each fault has a test that failed before the change.

--- a/fakebackend/internal/cmd/servecmd.go
+++ b/fakebackend/internal/cmd/servecmd.go
@@ -41,7 +41,7 @@
 			fs.StringVar(&f.domains, "domains", "d1,d2,d3,d4", "failure domains, used in turn")
 			fs.StringVar(&f.base, "base", "127.0.0.1:9100", "address of the first server; the others use the ports after it")
 			fs.StringVar(&f.platform, "platform", "http://127.0.0.1:7000", "base URL of the platform")
-			fs.StringVar(&f.control, "control", "127.0.0.1:9099", "address at which faults are set and counts are read")
+			fs.StringVar(&f.control, "control", "", "address at which faults are set and counts are read; none when empty")
 			fs.IntVar(&f.count, "count", 18, "number of servers")
 			fs.IntVar(&f.slots, "slots", 4, "calls that a server works on at a time")
 			fs.DurationVar(&f.work, "work", 5*time.Millisecond, "time that a call takes")
@@ -60,16 +60,18 @@
 		return err
 	}
 	defer fl.Close()
-	control, err := net.Listen("tcp", f.control)
-	if err != nil {
-		return err
+	if f.control != "" {
+		control, err := net.Listen("tcp", f.control)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = control.Close() }()
+		go func() { _ = http.Serve(control, fl.Control()) }()
 	}
-	defer func() { _ = control.Close() }()
-	go func() { _ = http.Serve(control, fl.Control()) }()
 	if err := f.register(ctx, servers); err != nil {
 		return err
 	}
-	_, _ = fmt.Fprintf(cfg.Out, "fakebackend: %d servers of %s from %s, control at %s\n", f.count, f.service, f.base, f.control)
+	_, _ = fmt.Fprintf(cfg.Out, "fakebackend: %d servers of %s from %s\n", f.count, f.service, f.base)
 	<-ctx.Done()
 	return nil
 }
--- a/goldcreststand/internal/proxy/body.go
+++ b/goldcreststand/internal/proxy/body.go
@@ -84,7 +84,8 @@
 	case b.streamed():
 		req.Body = &streamReader{b: b}
 	case len(b.buffered) > 0:
-		req.Body = io.NopCloser(bytes.NewReader(b.buffered))
+		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(b.buffered)), nil }
+		req.Body, _ = req.GetBody()
 		// The body is at hand already, so that there is nothing to wait for.
 		req.Header.Del("Expect")
 	default:
--- a/goldcreststand/internal/proxy/connset.go
+++ b/goldcreststand/internal/proxy/connset.go
@@ -82,21 +82,27 @@
 	}
 }
 
-func (s *connSet) dial(ctx context.Context, id pool.ConnID) (*conn, error) {
+// dial makes a connection. The pool learns the result also when the dialer panics, since the dial would
+// count against its limits for good.
+func (s *connSet) dial(ctx context.Context, id pool.ConnID) (c *conn, err error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if c == nil {
+			s.core.Handle(pool.DialFailed{ID: id})
+			s.notify()
+			return
+		}
+		s.conns[id] = c
+		s.core.Handle(pool.Dialed{ID: id})
+	}()
 	nc, err := s.dialer.DialContext(ctx, "tcp", s.address.String())
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if err != nil {
-		s.core.Handle(pool.DialFailed{ID: id})
-		s.notify()
 		return nil, err
 	}
-	c := newConn(id, nc)
-	s.conns[id] = c
-	s.core.Handle(pool.Dialed{ID: id})
-	return c, nil
+	return newConn(id, nc), nil
 }
 
 // put gives back a connection on which a complete response was received.
--- a/goldcreststand/internal/proxy/idle_test.go
+++ b/goldcreststand/internal/proxy/idle_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/route"
 	"goldcreststand.example/goldcreststand/internal/proxy"
 )
 
@@ -89,9 +92,14 @@
 
 // Guards against a panic in a try that ends the process or the call without a response.
 func TestPanicEndsOneTry(t *testing.T) {
-	b := newBackend(t, always(respOK))
-	s := instance(t, localTo(b), proxy.WithDialer(dialFunc(func(context.Context) { panic("dialer") })))
-	require.Contains(t, request(s, http.MethodPost, "/item/1", nil).proxy, rejected)
+	svc := localTo(newBackend(t, always(respOK)))
+	svc.Servers[0].Connections = 1
+	s := instance(t, svc, proxy.WithDialer(dialFunc(func(context.Context) { panic("dialer") })))
+	for range 2 {
+		got := request(s, http.MethodPost, "/item/1", nil)
+		require.Equal(t, "goldcreststand; error=connection_refused; "+rejected, got.proxy)
+		require.Zero(t, svc.Servers[0].Load.Inflight(), "slot lost")
+	}
 }
 
 // pipes is a dialer that connects to backends without a network.
@@ -119,3 +127,33 @@
 	f(ctx)
 	return nil, net.ErrClosed
 }
+
+// Guards against a send on old news when the process was paused while the call waited for a connection.
+func TestPauseDuringDialIsNoticed(t *testing.T) {
+	b := newBackend(t, always(respOK))
+	svc := localTo(b)
+	clock := new(pausedClock)
+	f := fixed{&route.Snapshot{ValidUntil: time.Second, Services: map[ident.ServiceName]*route.Service{serviceName: svc}}}
+	h := proxy.New(proxy.Options{Timeout: 10 * time.Second, Maximum: time.Minute}, f, proxy.NewAdmission(f, inOrder{}, clock), clock,
+		proxy.WithDialer(pausingDialer{clock}))
+	s := httptest.NewServer(h)
+	defer s.Close()
+	got := request(s, http.MethodPost, "/item/1", nil)
+	require.Contains(t, got.proxy, rejected)
+	require.Zero(t, b.count("/item/1"))
+}
+
+// pausedClock is an elapsed clock that a test moves.
+type pausedClock struct{ now atomic.Int64 }
+
+// Elapsed returns the time that the test has set.
+func (c *pausedClock) Elapsed() time.Duration { return time.Duration(c.now.Load()) }
+
+// pausingDialer connects and then lets a minute pass on the clock.
+type pausingDialer struct{ clock *pausedClock }
+
+// DialContext connects to the address.
+func (d pausingDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	defer d.clock.now.Store(int64(time.Minute))
+	return new(net.Dialer).DialContext(ctx, network, address)
+}
--- a/goldcreststand/internal/proxy/run.go
+++ b/goldcreststand/internal/proxy/run.go
@@ -56,6 +56,12 @@
 
 func (x *run) now() time.Time { return x.h.clock.Now() }
 
+// expired reports whether the snapshot is too old to act on, as after a pause of the process while the
+// call waited for a connection.
+func (x *run) expired() bool {
+	return !x.hop && x.h.elapsed.Elapsed() > x.h.snapshots.Load().ValidUntil
+}
+
 // post hands an event to the driving goroutine, and reports whether it was taken.
 func (x *run) post(ev retry.Event) bool {
 	select {
--- a/goldcreststand/internal/proxy/try.go
+++ b/goldcreststand/internal/proxy/try.go
@@ -50,6 +50,12 @@
 			t.fail(false)
 			return
 		}
+		if t.x.expired() {
+			t.set.put(t.conn)
+			t.conn = nil
+			t.fail(false)
+			return
+		}
 		t.x.post(retry.Connected{At: t.x.now(), Try: t.n, Proved: t.proved})
 		resp, err := t.conn.transport.RoundTrip(t.request())
 		if err == nil && t.conn.asked() {
