--- /dev/null
+++ b/core/canary/rollout_test.go
@@ -0,0 +1,69 @@
+package canary_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"goldcreststand.example/core/canary"
+	"goldcreststand.example/core/ident"
+)
+
+func statuses() *rapid.Generator[canary.Status] {
+	return rapid.Custom(func(t *rapid.T) canary.Status {
+		return canary.Status{
+			Attempt: ident.Attempt(rapid.IntRange(0, 2).Draw(t, "attempt")),
+			Outcome: canary.Outcome(rapid.IntRange(0, 2).Draw(t, "outcome")),
+			Stage:   canary.Stage(rapid.IntRange(0, 4).Draw(t, "stage")),
+			Reason:  rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "reason"),
+		}
+	})
+}
+
+// Guards against instances that end with different statuses because messages arrive in another order.
+func TestJoinIsSemilattice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := statuses().Draw(t, "a"), statuses().Draw(t, "b"), statuses().Draw(t, "c")
+		require.Equal(t, a, a.Join(a))
+		require.Equal(t, a.Join(b), b.Join(a))
+		require.Equal(t, a.Join(b).Join(c), a.Join(b.Join(c)))
+		require.GreaterOrEqual(t, a.Join(b).Compare(a), 0)
+	})
+}
+
+// Guards against statuses that go back, calls to a rolled back version, and a paused instance that
+// resumes with an old status, under lost reports, pauses and platform outages.
+func TestStatusNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := rapid.SampledFrom(kinds()).Draw(t, "kind")
+		s := newSim(k, 200, 90*time.Second, rapid.Uint64().Draw(t, "seed"))
+		s.loss = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "loss")
+		var last [simNodes]canary.Status
+		var stored canary.Status
+		for s.in() < 100*time.Second {
+			if rapid.IntRange(0, 99).Draw(t, "event") == 0 {
+				s.paused[rapid.IntRange(0, simNodes-1).Draw(t, "node")] = 20 * time.Second
+				s.outage = rapid.Bool().Draw(t, "outage")
+			}
+			for range 10 {
+				s.step()
+				for i, r := range s.nodes {
+					st, _ := r.Status()
+					if st.Compare(last[i]) < 0 {
+						t.Fatalf("instance %d went back from %v to %v", i, last[i], st)
+					}
+					last[i] = st
+				}
+				if s.platform != nil {
+					require.GreaterOrEqual(t, s.platform.Compare(stored), 0)
+					stored = *s.platform
+				}
+			}
+		}
+		if s.loss == 0 {
+			require.Zero(t, s.late)
+		}
+	})
+}
