--- a/core/canary/measure_test.go
+++ b/core/canary/measure_test.go
@@ -114,8 +114,11 @@
 	for b.Loop() {
 		fmt.Println(header)
 		for _, k := range kinds() {
-			for rate, runs := range map[float64]int{20: 200, 200: 100, 1000: 20} {
-				fmt.Println(measure(k, rate, runs))
+			for _, load := range []struct {
+				rate float64
+				runs int
+			}{{20, 200}, {200, 100}, {1000, 20}} {
+				fmt.Println(measure(k, load.rate, load.runs))
 			}
 		}
 	}
