core/canary: use the rollout status of core/table

Cause: core/table has got the status type that other modules store and send.

Change: the package's own status type is gone; join and order are functions.

--- a/core/canary/decide.go
+++ b/core/canary/decide.go
@@ -6,13 +6,14 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/table"
 )
 
 // Tick lets time act and returns what is to be done. rank is the place of this instance among the
 // serving ones, in placement order.
 func (r *Rollout) Tick(rank int, now time.Time) []Action {
 	var out []Action
-	deaf := r.move != nil && r.current.Outcome == OutcomeRunning && now.Sub(r.heard) > newsTime
+	deaf := r.move != nil && r.current.Outcome == table.OutcomeRunning && now.Sub(r.heard) > newsTime
 	if (!r.confirmed || deaf) && now.Sub(r.read) >= writeDelay {
 		r.read = now
 		out = append(out, ReadStatus{})
@@ -26,7 +27,7 @@
 		r.counter.decay()
 		r.judge(now)
 	}
-	if r.current.Outcome == OutcomeRunning {
+	if r.current.Outcome == table.OutcomeRunning {
 		r.advance(now)
 	}
 	return r.publish(out, rank, now)
@@ -47,7 +48,7 @@
 		out = append(out, SendReport{Status: r.current, Counts: r.counter.list(), Suspects: r.counter.worst()})
 	}
 	due := now.Sub(r.changed) >= time.Duration(rank)*writeDelay && now.Sub(r.written) >= writeDelay
-	if due && r.confirmed && r.stored.Compare(r.current) < 0 {
+	if due && r.confirmed && Compare(r.stored, r.current) < 0 {
 		r.written = now
 		out = append(out, WriteStatus{Status: r.current})
 	}
@@ -77,7 +78,9 @@
 }
 
 func (r *Rollout) revert(reason string, now time.Time) {
-	r.set(Status{Attempt: r.move.Attempt, Outcome: OutcomeReverted, Stage: r.current.Stage, Reason: reason}, now)
+	r.set(table.Status{
+		Service: r.service, Attempt: r.move.Attempt, Outcome: table.OutcomeReverted, Stage: r.current.Stage, Reason: reason,
+	}, now)
 }
 
 // advance moves a running rollout to its next stage, or ends it at the deadline. An instance that
@@ -92,16 +95,16 @@
 	case now.Before(r.move.Deadline.Add(grace)):
 	case r.confirmed && now.Sub(r.heard) <= newsTime:
 		r.revert(fmt.Sprintf("deadline passed at a share of %d ‰ with %d calls of version %s in the stage",
-			r.current.Stage.Share(), r.evidence.newCalls, r.move.To), now)
+			r.stage().Share(), r.evidence.newCalls, r.move.To), now)
 	default:
 		r.withheld = true
 	}
 }
 
 func (r *Rollout) promote(now time.Time) {
-	s := Status{Attempt: r.move.Attempt, Stage: r.current.Stage + 1}
-	if r.current.Stage == Last {
-		s.Stage, s.Outcome = Last, OutcomeDone
+	s := table.Status{Service: r.service, Attempt: r.move.Attempt, Stage: r.current.Stage + 1}
+	if r.stage() == Last {
+		s.Stage, s.Outcome = int(Last), table.OutcomeDone
 	}
 	r.set(s, now)
 }
@@ -112,7 +115,7 @@
 // and above 5 % with leastCalls in any case; a rollout that never gets there is rolled back at the
 // deadline.
 func (r *Rollout) passed(now time.Time) bool {
-	if !r.confirmed || r.room() < r.current.Stage.Share() || r.capacity.New == 0 {
+	if !r.confirmed || r.room() < r.stage().Share() || r.capacity.New == 0 {
 		return false
 	}
 	allotment := r.allotment()
@@ -126,22 +129,24 @@
 		return false
 	}
 	e := r.evidence
-	if e.newCalls >= needCalls(r.current.Stage) {
+	if e.newCalls >= needCalls(r.stage()) {
 		return true
 	}
 	if in < allotment || v >= math.Log(doubt) {
 		return false
 	}
-	promised := e.allCalls * int(r.current.Stage.Share()) / int(ident.FullShare)
+	promised := e.allCalls * int(r.stage().Share()) / int(ident.FullShare)
 	few := min(fewCalls, promised/2)
-	if r.current.Stage >= 2 {
+	if r.stage() >= 2 {
 		few = max(few, leastCalls)
 	}
 	return e.newCalls >= few
 }
 
+func (r *Rollout) stage() Stage { return Stage(r.current.Stage) }
+
 // allotment returns the even part of the time to the deadline for the current stage.
 func (r *Rollout) allotment() time.Duration {
 	left := r.move.Deadline.Add(-reserve).Sub(r.stageFrom)
-	return max(0, left) / time.Duration(Last-r.current.Stage+1)
+	return max(0, left) / time.Duration(Last-r.stage()+1)
 }
--- a/core/canary/measure_test.go
+++ b/core/canary/measure_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"goldcreststand.example/core/canary"
+	"goldcreststand.example/core/table"
 )
 
 type badness = func(in time.Duration, share float64, route, server int) (float64, float64)
@@ -67,7 +67,7 @@
 		s.run(5 * time.Second)
 		r.ends = append(r.ends, s.ended)
 		r.share += 100 * float64(s.hit) / float64(max(1, s.calls)) / float64(runs)
-		if s.final.Outcome == canary.OutcomeDone {
+		if s.final.Outcome == table.OutcomeDone {
 			r.done++
 			continue
 		}
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -26,12 +26,13 @@
 // Rollout is the newest version rollout of one service as one instance sees it. It is not safe for
 // concurrent use.
 type Rollout struct {
-	self ident.InstanceID
-	move *table.Move
+	service ident.ServiceName
+	self    ident.InstanceID
+	move    *table.Move
 	// status is that of the newest attempt known, which can be newer than the move.
-	status Status
+	status table.Status
 	// current is the status of the move's attempt.
-	current Status
+	current table.Status
 	// confirmed says that a peer or the platform was heard since the start and the last pause.
 	confirmed bool
 	heard     time.Time
@@ -43,7 +44,7 @@
 	stageFrom time.Time
 	doneAt    time.Time
 
-	stored   Status
+	stored   table.Status
 	changed  time.Time
 	written  time.Time
 	read     time.Time
@@ -60,8 +61,8 @@
 }
 
 // New returns the state without a rollout at the time of the instance's start.
-func New(self ident.InstanceID, now time.Time) *Rollout {
-	r := &Rollout{self: self}
+func New(service ident.ServiceName, self ident.InstanceID, now time.Time) *Rollout {
+	r := &Rollout{service: service, self: self}
 	r.Resume(now)
 	return r
 }
@@ -75,7 +76,7 @@
 	r.move = &v
 	r.counter, r.evidence = newCounter(v), newEvidence(v)
 	r.withheld, r.doneAt, r.reported = false, time.Time{}, now
-	r.current = Status{Attempt: v.Attempt}
+	r.current = table.Status{Service: r.service, Attempt: v.Attempt}
 	if r.status.Attempt == v.Attempt {
 		r.current = r.status
 	}
@@ -83,33 +84,33 @@
 }
 
 // Join takes a status that a peer sent. A peer with an older one gets the own one.
-func (r *Rollout) Join(s Status, now time.Time) {
+func (r *Rollout) Join(s table.Status, now time.Time) {
 	r.confirmed, r.heard = true, now
 	r.join(s, now)
-	if s.Compare(r.current) < 0 {
+	if Compare(s, r.current) < 0 {
 		r.announce = max(r.announce, 1)
 	}
 }
 
 // Asked takes the status of a peer that does not know whether it is up to date. It confirms nothing. A
 // newer status is sent back in any case.
-func (r *Rollout) Asked(s Status, now time.Time) {
+func (r *Rollout) Asked(s table.Status, now time.Time) {
 	r.join(s, now)
-	if r.confirmed || s.Compare(r.current) < 0 {
+	if r.confirmed || Compare(s, r.current) < 0 {
 		r.announce = max(r.announce, 1)
 	}
 }
 
 // Stored takes the platform's status of the service, or nil when there is none. The platform can be
 // behind the peers, so they get some time to respond before its status counts as up to date.
-func (r *Rollout) Stored(s *Status, now time.Time) {
+func (r *Rollout) Stored(s *table.Status, now time.Time) {
 	if now.Sub(r.since) >= askInterval {
 		r.confirmed, r.heard = true, now
 	}
 	if s == nil {
 		return
 	}
-	r.stored = r.stored.Join(*s)
+	r.stored = Join(r.stored, *s)
 	r.join(*s, now)
 }
 
@@ -123,28 +124,28 @@
 	r.read, r.asked = now.Add(askInterval-writeDelay), time.Time{}
 }
 
-func (r *Rollout) join(s Status, now time.Time) {
-	r.status = r.status.Join(s)
+func (r *Rollout) join(s table.Status, now time.Time) {
+	r.status = Join(r.status, s)
 	if r.move == nil || s.Attempt != r.move.Attempt {
 		return
 	}
 	old := r.current
-	r.current = old.Join(s)
-	if r.current.Compare(old) > 0 {
+	r.current = Join(old, s)
+	if Compare(r.current, old) > 0 {
 		r.withheld = false
 		r.enterStage(now)
 	}
 }
 
 // set makes a decision of this instance.
-func (r *Rollout) set(s Status, now time.Time) {
+func (r *Rollout) set(s table.Status, now time.Time) {
 	r.join(s, now)
 	r.announce = announcements
 }
 
 func (r *Rollout) enterStage(now time.Time) {
 	r.stageFrom, r.changed = now, now
-	if r.current.Outcome != OutcomeRunning && r.doneAt.IsZero() {
+	if r.current.Outcome != table.OutcomeRunning && r.doneAt.IsZero() {
 		r.doneAt = now
 	}
 	r.evidence.newStage()
@@ -173,7 +174,7 @@
 }
 
 // Status returns the status of the current attempt and whether there is one.
-func (r *Rollout) Status() (Status, bool) { return r.current, r.move != nil }
+func (r *Rollout) Status() (table.Status, bool) { return r.current, r.move != nil }
 
 // Move returns the current move, or nil.
 func (r *Rollout) Move() *table.Move { return r.move }
@@ -181,11 +182,11 @@
 // live reports whether the rollout can still change.
 func (r *Rollout) live(now time.Time) bool {
 	switch r.current.Outcome {
-	case OutcomeRunning:
+	case table.OutcomeRunning:
 		return true
-	case OutcomeDone:
+	case table.OutcomeDone:
 		return now.Sub(r.doneAt) <= watchTime
-	case OutcomeReverted:
+	case table.OutcomeReverted:
 		return false
 	}
 	return false
@@ -193,7 +194,7 @@
 
 // aloneNow reports whether the old version gets no calls by the status.
 func (r *Rollout) aloneNow() bool {
-	return r.current.Outcome == OutcomeDone || r.current.Stage == Last
+	return r.current.Outcome == table.OutcomeDone || r.stage() == Last
 }
 
 // Share returns the share of the calls that the new version gets at this instance, and whether there is
@@ -202,7 +203,7 @@
 	if r.move == nil {
 		return 0, false
 	}
-	if r.current.Outcome == OutcomeReverted || r.withheld {
+	if r.current.Outcome == table.OutcomeReverted || r.withheld {
 		return 0, true
 	}
 	if !r.capacity.OldListed && r.capacity.New > 0 {
@@ -216,10 +217,10 @@
 }
 
 func (r *Rollout) target() ident.Share {
-	if r.current.Outcome == OutcomeDone {
+	if r.current.Outcome == table.OutcomeDone {
 		return ident.FullShare
 	}
-	return r.current.Stage.Share()
+	return r.stage().Share()
 }
 
 // room returns the share of the calls that the new version's servers can take. Most of the slots stay
--- a/core/canary/rollout_test.go
+++ b/core/canary/rollout_test.go
@@ -9,14 +9,15 @@
 
 	"goldcreststand.example/core/canary"
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/table"
 )
 
-func statuses() *rapid.Generator[canary.Status] {
-	return rapid.Custom(func(t *rapid.T) canary.Status {
-		return canary.Status{
+func statuses() *rapid.Generator[table.Status] {
+	return rapid.Custom(func(t *rapid.T) table.Status {
+		return table.Status{
 			Attempt: ident.Attempt(rapid.IntRange(0, 2).Draw(t, "attempt")),
-			Outcome: canary.Outcome(rapid.IntRange(0, 2).Draw(t, "outcome")),
-			Stage:   canary.Stage(rapid.IntRange(0, 4).Draw(t, "stage")),
+			Outcome: table.Outcome(rapid.IntRange(0, 2).Draw(t, "outcome")),
+			Stage:   rapid.IntRange(0, 4).Draw(t, "stage"),
 			Reason:  rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "reason"),
 		}
 	})
@@ -26,10 +27,10 @@
 func TestJoinIsSemilattice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b, c := statuses().Draw(t, "a"), statuses().Draw(t, "b"), statuses().Draw(t, "c")
-		require.Equal(t, a, a.Join(a))
-		require.Equal(t, a.Join(b), b.Join(a))
-		require.Equal(t, a.Join(b).Join(c), a.Join(b.Join(c)))
-		require.GreaterOrEqual(t, a.Join(b).Compare(a), 0)
+		require.Equal(t, a, canary.Join(a, a))
+		require.Equal(t, canary.Join(a, b), canary.Join(b, a))
+		require.Equal(t, canary.Join(canary.Join(a, b), c), canary.Join(a, canary.Join(b, c)))
+		require.GreaterOrEqual(t, canary.Compare(canary.Join(a, b), a), 0)
 	})
 }
 
@@ -40,8 +41,8 @@
 		k := rapid.SampledFrom(kinds()).Draw(t, "kind")
 		s := newSim(k, 200, 90*time.Second, rapid.Uint64().Draw(t, "seed"))
 		s.loss = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "loss")
-		var last [simNodes]canary.Status
-		var stored canary.Status
+		var last [simNodes]table.Status
+		var stored table.Status
 		for s.in() < 100*time.Second {
 			if rapid.IntRange(0, 99).Draw(t, "event") == 0 {
 				s.paused[rapid.IntRange(0, simNodes-1).Draw(t, "node")] = 20 * time.Second
@@ -51,13 +52,13 @@
 				s.step()
 				for i, r := range s.nodes {
 					st, _ := r.Status()
-					if st.Compare(last[i]) < 0 {
+					if canary.Compare(st, last[i]) < 0 {
 						t.Fatalf("instance %d went back from %v to %v", i, last[i], st)
 					}
 					last[i] = st
 				}
 				if s.platform != nil {
-					require.GreaterOrEqual(t, s.platform.Compare(stored), 0)
+					require.GreaterOrEqual(t, canary.Compare(*s.platform, stored), 0)
 					stored = *s.platform
 				}
 			}
--- a/core/canary/sim_test.go
+++ b/core/canary/sim_test.go
@@ -40,7 +40,7 @@
 	now      time.Time
 	nodes    []*canary.Rollout
 	paused   [simNodes]time.Duration
-	platform *canary.Status
+	platform *table.Status
 	outage   bool
 	loss     float64
 	pending  []func()
@@ -52,7 +52,7 @@
 	// ended is the time at which the first instance left the running outcome, quiet that of the last
 	// call to the new version.
 	ended, quiet time.Duration
-	final        canary.Status
+	final        table.Status
 	awake        [simNodes]time.Duration
 	// late counts the calls to a rolled back version at a time when an instance that had been running for
 	// 2 s knew better. With all others paused and an old status on the platform nobody can know.
@@ -69,7 +69,7 @@
 	}
 	m := &table.Move{Attempt: 1, From: "v1", To: "v2", Deadline: simStart.Add(deadline)}
 	for i := range simNodes {
-		r := canary.New(ident.InstanceID(fmt.Sprintf("i%d", i)), s.now.Add(-time.Minute))
+		r := canary.New("s", ident.InstanceID(fmt.Sprintf("i%d", i)), s.now.Add(-time.Minute))
 		r.Stored(nil, s.now)
 		r.SetMove(m, s.now)
 		s.nodes = append(s.nodes, r)
@@ -102,16 +102,16 @@
 		s.traffic(i, r)
 		r.SetCapacity(canary.Capacity{Old: 60, New: 60, Inflight: 5, NewServers: s.kind.servers, OldListed: true})
 		s.act(i, r.Tick(i, s.now))
-		if st, _ := r.Status(); st.Compare(s.final) > 0 {
+		if st, _ := r.Status(); canary.Compare(st, s.final) > 0 {
 			s.final = st
-			if st.Outcome != canary.OutcomeRunning {
+			if st.Outcome != table.OutcomeRunning {
 				s.ended = s.in()
 			}
 		}
 	}
 	for j, r := range s.nodes {
 		st, _ := r.Status()
-		if st.Outcome == canary.OutcomeReverted && s.paused[j] <= 0 && s.in() > max(s.awake[j], s.ended)+2*time.Second {
+		if st.Outcome == table.OutcomeReverted && s.paused[j] <= 0 && s.in() > max(s.awake[j], s.ended)+2*time.Second {
 			s.late += s.byNode[0] + s.byNode[1] + s.byNode[2] + s.byNode[3]
 			return
 		}
@@ -200,7 +200,7 @@
 			if s.outage {
 				continue
 			}
-			if s.platform == nil || s.platform.Compare(a.Status) < 0 {
+			if s.platform == nil || canary.Compare(*s.platform, a.Status) < 0 {
 				st := a.Status
 				s.platform = &st
 			}
