schema: add the rollout status, suspects and warm servers to the messages

Cause: a serving instance learns a rollback and the servers at fault from reports, and asks which servers are warm.

Change: Report carries the status, whether the sender asks, and suspects; the method warm has Warmth as its parameter and result.

--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -351,6 +351,36 @@
 	return nil
 }
 
+// Life names one life of a backend server.
+type Life struct {
+	// Number of the server's life.
+	Incarnation ident.Incarnation `json:"incarnation"`
+
+	// Identifier of the backend server.
+	Server ident.ServerID `json:"server"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Life) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["incarnation"]; raw != nil && !ok {
+		return fmt.Errorf("field incarnation in Life: required")
+	}
+	if _, ok := raw["server"]; raw != nil && !ok {
+		return fmt.Errorf("field server in Life: required")
+	}
+	type Plain Life
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Life(plain)
+	return nil
+}
+
 // Listing is the platform's list of the backend servers of a service.
 type Listing struct {
 	// Number of the change, growing.
@@ -701,9 +731,12 @@
 	return nil
 }
 
-// Report is the parameter of the method report: outcome counts of a version
-// rollout.
+// Report is the parameter of the method report: the sender's rollout status and
+// its outcome counts.
 type Report struct {
+	// Whether the sender does not know if its status is up to date.
+	Asks bool `json:"asks"`
+
 	// Number of the rollout.
 	Attempt ident.Attempt `json:"attempt"`
 
@@ -715,6 +748,12 @@
 
 	// Service of the rollout.
 	Service ident.ServiceName `json:"service"`
+
+	// Status corresponds to the JSON schema field "status".
+	Status Status `json:"status"`
+
+	// Servers of the new version with recent bad calls, worst first.
+	Suspects []Suspect `json:"suspects"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -723,6 +762,9 @@
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
+	if _, ok := raw["asks"]; raw != nil && !ok {
+		return fmt.Errorf("field asks in Report: required")
+	}
 	if _, ok := raw["attempt"]; raw != nil && !ok {
 		return fmt.Errorf("field attempt in Report: required")
 	}
@@ -735,6 +777,12 @@
 	if _, ok := raw["service"]; raw != nil && !ok {
 		return fmt.Errorf("field service in Report: required")
 	}
+	if _, ok := raw["status"]; raw != nil && !ok {
+		return fmt.Errorf("field status in Report: required")
+	}
+	if _, ok := raw["suspects"]; raw != nil && !ok {
+		return fmt.Errorf("field suspects in Report: required")
+	}
 	type Plain Report
 	var plain Plain
 	if err := json.Unmarshal(value, &plain); err != nil {
@@ -743,6 +791,9 @@
 	if len(plain.Counts) > 256 {
 		return fmt.Errorf("field %s length: must be <= %d", "counts", 256)
 	}
+	if len(plain.Suspects) > 8 {
+		return fmt.Errorf("field %s length: must be <= %d", "suspects", 8)
+	}
 	*j = Report(plain)
 	return nil
 }
@@ -966,6 +1017,48 @@
 	return nil
 }
 
+// Suspect holds the recent bad calls at one backend server; older ones count less.
+type Suspect struct {
+	// Weighted number of failures.
+	Failures float64 `json:"failures"`
+
+	// Identifier of the backend server.
+	Server ident.ServerID `json:"server"`
+
+	// Weighted number of slow calls.
+	Slow float64 `json:"slow"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Suspect) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["failures"]; raw != nil && !ok {
+		return fmt.Errorf("field failures in Suspect: required")
+	}
+	if _, ok := raw["server"]; raw != nil && !ok {
+		return fmt.Errorf("field server in Suspect: required")
+	}
+	if _, ok := raw["slow"]; raw != nil && !ok {
+		return fmt.Errorf("field slow in Suspect: required")
+	}
+	type Plain Suspect
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Failures {
+		return fmt.Errorf("field %s: must be >= %v", "failures", 0)
+	}
+	if 0 > plain.Slow {
+		return fmt.Errorf("field %s: must be >= %v", "slow", 0)
+	}
+	*j = Suspect(plain)
+	return nil
+}
+
 // Table is the routing table of a service: the value of the platform object
 // tables/<service>.
 type Table struct {
@@ -1184,3 +1277,37 @@
 	*j = View(plain)
 	return nil
 }
+
+// Warmth is the parameter and the result of the method warm: the servers that the
+// sender asks about, and those of them that the receiver knows to be warm.
+type Warmth struct {
+	// Lives of backend servers.
+	Lives []Life `json:"lives"`
+
+	// Service of the servers.
+	Service ident.ServiceName `json:"service"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Warmth) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["lives"]; raw != nil && !ok {
+		return fmt.Errorf("field lives in Warmth: required")
+	}
+	if _, ok := raw["service"]; raw != nil && !ok {
+		return fmt.Errorf("field service in Warmth: required")
+	}
+	type Plain Warmth
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if len(plain.Lives) > 1024 {
+		return fmt.Errorf("field %s length: must be <= %d", "lives", 1024)
+	}
+	*j = Warmth(plain)
+	return nil
+}
