goldcreststand/ctrl: let health and rollouts decide what traffic may use

The instance with the most slots at a server (limit.Owner) warms it up.

The tests of slot shares now warm the servers up first, because a cold server gives no slots; what they require is unchanged.

Measured: go test ./goldcreststand/internal/ctrl passes.

--- a/core/health/server.go
+++ b/core/health/server.go
@@ -79,9 +79,12 @@
 	return s.ranked && s.rank == 0 && now.Sub(s.firstSince) >= take
 }
 
-// setRank notes the place of this instance in the server's placement order. An instance that is no
-// longer among the serving ones has no place.
+// setRank notes the place of this instance among those with slots at the server. One that has got slots
+// anew does not trust what it knew of the server before.
 func (s *server) setRank(rank int, first ident.InstanceID, ranked bool, now time.Time) {
+	if ranked && !s.ranked && s.state == StateActive {
+		s.cold(now)
+	}
 	if ranked && rank == 0 && (!s.ranked || s.rank != 0) {
 		s.firstSince = now
 	}
--- a/core/health/settings.go
+++ b/core/health/settings.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// DefaultTakeDelay is the time that an instance waits after it became the first in the placement order
-// of a server before it sends to the server in warm-up. It exceeds the 3 s of failure detection plus
+// DefaultTakeDelay is the time that an instance waits after it became the first of the instances
+// with slots at a server before it sends to the server in warm-up. It exceeds the 3 s of failure detection plus
 // the 2 s for which the former first instance may act on its last snapshot.
 const DefaultTakeDelay = 6 * time.Second
 
--- a/core/health/tracker.go
+++ b/core/health/tracker.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
-	"goldcreststand.example/core/place"
 	"goldcreststand.example/core/roster"
 )
 
@@ -20,7 +19,6 @@
 	self      ident.InstanceID
 	rng       *rand.Rand
 	takeDelay time.Duration
-	serving   []place.Node
 	servers   map[ident.ServerID]*server
 	// ids holds the keys of servers in order, so that the same events always have the same result.
 	ids []ident.ServerID
@@ -76,7 +74,6 @@
 		s = &server{}
 		t.servers[spec.ID] = s
 		s.cold(now)
-		t.rank(spec.ID, s, now)
 	}
 	restarted := ok && spec.Incarnation != s.spec.Incarnation
 	back := s.listLeaving && !spec.Leaving
@@ -91,27 +88,18 @@
 	}
 }
 
-// SetServing sets the instances that serve the service, in any order.
-func (t *Tracker) SetServing(nodes []place.Node, now time.Time) {
-	if slices.Equal(nodes, t.serving) {
-		return
-	}
-	t.serving = slices.Clone(nodes)
+// SetHolders sets the instances that have slots at each server, the one that warms it up first. Different
+// servers have different first instances, so that the warm-up is spread over the serving instances.
+func (t *Tracker) SetHolders(holders func(ident.ServerID) []ident.InstanceID, now time.Time) {
 	for _, id := range t.ids {
-		t.rank(id, t.servers[id], now)
-	}
-}
-
-// rank finds the place of this instance in the server's own placement order, which spreads the
-// servers in warm-up over the serving instances.
-func (t *Tracker) rank(id ident.ServerID, s *server, now time.Time) {
-	order := place.Order(string(t.service)+"/"+string(id), t.serving)
-	i := slices.IndexFunc(order, func(n place.Node) bool { return n.ID == t.self })
-	var first ident.InstanceID
-	if len(order) > 0 {
-		first = order[0].ID
+		order := holders(id)
+		i := slices.Index(order, t.self)
+		var first ident.InstanceID
+		if len(order) > 0 {
+			first = order[0]
+		}
+		t.servers[id].setRank(i, first, i >= 0, now)
 	}
-	s.setRank(i, first, i >= 0, now)
 }
 
 // Resume tells the tracker that the instance was paused for so long that others may have taken its
--- /dev/null
+++ b/goldcreststand/internal/ctrl/care.go
@@ -0,0 +1,124 @@
+package ctrl
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"goldcreststand.example/core/canary"
+	"goldcreststand.example/core/health"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/place"
+	"goldcreststand.example/core/probe"
+	"goldcreststand.example/core/roster"
+	"goldcreststand.example/core/route"
+	"goldcreststand.example/core/table"
+)
+
+// ProbeBudget is the budget of load measurement per backend server over all instances.
+type ProbeBudget struct {
+	// Rate is in probes per second.
+	Rate float64
+	// Bytes is in bytes per second.
+	Bytes ident.Bytes
+}
+
+// care is the control state about a service's backend servers and its version rollout.
+type care struct {
+	self    ident.InstanceID
+	tracker *health.Tracker
+	rollout *canary.Rollout
+	planner *probe.Planner
+	// plan is the division of slots that the tracker's holders follow from; table, listing and serving
+	// are what it was made from.
+	table   *table.Table
+	listing *roster.Listing
+	serving []place.Node
+}
+
+func newCare(st *state, n ident.ServiceName) *care {
+	// The seed differs between instances, so that their ejections do not end in step.
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(string(st.self.ID) + "/" + string(n)))
+	return &care{
+		self:    st.self.ID,
+		tracker: health.New(n, st.self.ID, rand.New(rand.NewPCG(h.Sum64(), 0))),
+		rollout: canary.New(n, st.self.ID, st.now),
+		planner: probe.New(st.self.Probe.Rate, st.self.Probe.Bytes, health.DefaultTakeDelay),
+	}
+}
+
+// follow brings the holders of the servers' slots up to date. It is called for every snapshot, after the
+// shares.
+func (c *care) follow(s *service, now time.Time) {
+	if c.table == s.table && c.listing == s.listing && slices.Equal(c.serving, s.shares.serving) {
+		return
+	}
+	c.table, c.listing, c.serving = s.table, s.listing, s.shares.serving
+	c.tracker.SetHolders(s.shares.holders, now)
+}
+
+// holders returns the instances with slots at the server, the one with the most first. That is the owner by
+// limit.Owner, which warms the server up.
+func (sh *shares) holders(id ident.ServerID) []ident.InstanceID {
+	var out []ident.InstanceID
+	for _, n := range sh.serving {
+		if sh.plan[n.ID][id] > 0 {
+			out = append(out, n.ID)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b ident.InstanceID) int {
+		return cmp.Compare(sh.plan[b][id], sh.plan[a][id])
+	})
+	return out
+}
+
+// admit lowers the server's share to its verdict and reports whether it takes work.
+func (c *care) admit(srv *route.Server, now time.Time) bool {
+	srv.Share = min(srv.Share, c.tracker.Verdict(srv.ID, now).Limit)
+	return srv.Share > 0
+}
+
+// weight returns the weight of a version: that of its row, and during a rollout the share of its stage.
+func (c *care) weight(v ident.VersionName, row ident.Weight) ident.Weight {
+	m, share := c.rollout.Move(), ident.FullShare
+	if to, ok := c.rollout.Share(); ok && row > 0 {
+		switch v {
+		case m.To:
+			share = to
+		case m.From:
+			share = ident.FullShare - to
+		}
+	}
+	// Shares are in per mille; rows without a rollout keep their proportions.
+	return ident.Weight(uint64(row) * uint64(share) / uint64(route.DefaultWeight))
+}
+
+// capacity sums up what the servers of both versions of the rollout can take at this instance.
+func (s *service) capacity(now time.Time) canary.Capacity {
+	var out canary.Capacity
+	m := s.care.rollout.Move()
+	if m == nil || s.listing == nil {
+		return out
+	}
+	for _, b := range s.listing.Servers {
+		if l, ok := s.loads[b.ID]; ok {
+			out.Inflight += l.Inflight()
+		}
+		if b.Leaving {
+			continue
+		}
+		n := min(s.shares.ledger.Share(b.ID), s.care.tracker.Verdict(b.ID, now).Limit)
+		switch b.Version {
+		case m.From:
+			out.Old += n
+			out.OldListed = true
+		case m.To:
+			out.New += n
+			out.NewServers++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/goldcreststand/internal/ctrl/care_test.go
@@ -0,0 +1,174 @@
+package ctrl
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcreststand.example/core/canary"
+	"goldcreststand.example/core/health"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/place"
+	"goldcreststand.example/core/roster"
+	"goldcreststand.example/core/route"
+	"goldcreststand.example/core/table"
+)
+
+// warm lets the instance see enough good calls at all servers to end their warm-up.
+func warm(st *state, l *roster.Listing) {
+	st.snapshot()
+	for _, b := range l.Servers {
+		var batch []route.Outcome
+		for range 100 {
+			batch = append(batch, route.Outcome{Service: l.Service, Server: b.ID, Version: b.Version, Route: "r", Start: st.now, Latency: time.Millisecond})
+		}
+		OutcomesSeen{Outcomes: batch}.apply(st)
+	}
+}
+
+// rollout returns the state of a lone instance with three warm servers of each of two versions.
+func rollout() *state {
+	l := listing(6, 4)
+	for i := range l.Servers {
+		l.Servers[i].Version = []ident.VersionName{"v1", "v2"}[i%2]
+		l.Servers[i].Address = netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1))
+	}
+	st := newState(Self{ID: "i0", Count: 4, Probe: ProbeBudget{Rate: 0.5, Bytes: 150}})
+	st.now = time.Unix(1e6, 0)
+	TableSeen{Table: &table.Table{Service: "svc", Revision: 1}}.apply(st)
+	ListingSeen{Listing: l}.apply(st)
+	warm(st, l)
+	pass(st, 10*time.Second)
+	TableSeen{Table: &table.Table{Service: "svc", Revision: 2, Move: &table.Move{
+		Attempt: 1, From: "v1", To: "v2", Deadline: st.now.Add(10 * time.Minute),
+	}}}.apply(st)
+	pass(st, 100*time.Millisecond)
+	return st
+}
+
+// pass lets time act and returns the actions.
+func pass(st *state, d time.Duration) []Action {
+	var out []Action
+	for at := time.Duration(0); at < d; at += tickInterval {
+		st.now, st.boot = st.now.Add(tickInterval), st.boot+tickInterval
+		out = append(out, tick{}.apply(st)...)
+		st.snapshot()
+	}
+	return out
+}
+
+func weights(st *state) map[ident.VersionName]ident.Weight {
+	out := make(map[ident.VersionName]ident.Weight)
+	for _, v := range st.snapshot().Services["svc"].Versions {
+		out[v.Name] = v.Weight
+	}
+	return out
+}
+
+func calls(st *state, id ident.ServerID, v ident.VersionName, n int, r route.Result) {
+	for range n {
+		OutcomesSeen{Outcomes: []route.Outcome{{
+			Service: "svc", Server: id, Version: v, Route: "r", Result: r, Start: st.now, Latency: time.Millisecond,
+		}}}.apply(st)
+	}
+}
+
+// Guards against weights that do not follow the stage, and against calls to a version that was rolled
+// back.
+func TestVersionWeightsFollowRollout(t *testing.T) {
+	st := rollout()
+	require.Equal(t, map[ident.VersionName]ident.Weight{"v1": 990, "v2": 10}, weights(st))
+	for range 10 {
+		calls(st, "s0", "v1", 100, route.ResultOK)
+		calls(st, "s1", "v2", 2, route.ResultFailed)
+		calls(st, "s3", "v2", 2, route.ResultFailed)
+		pass(st, 500*time.Millisecond)
+	}
+	require.Equal(t, map[ident.VersionName]ident.Weight{"v1": 1000}, weights(st))
+	var written []table.Status
+	for _, a := range pass(st, 10*time.Second) {
+		if w, ok := a.(WriteStatus); ok {
+			written = append(written, w.Status)
+		}
+	}
+	require.NotEmpty(t, written)
+	require.Equal(t, table.OutcomeReverted, written[0].Outcome)
+	StatusStored{Service: "svc", Status: &written[0]}.apply(st)
+	for _, a := range pass(st, 10*time.Second) {
+		_, ok := a.(WriteStatus)
+		require.False(t, ok)
+	}
+}
+
+// Guards against a paused instance that acts on its old rollout status, and against one that does not
+// learn the newer status from a peer.
+func TestResumedInstanceWithholdsNewVersion(t *testing.T) {
+	st := rollout()
+	st.nodes = append(st.nodes, place.Node{ID: "i1", Domain: "d1"})
+	st.now = st.now.Add(time.Minute)
+	st.resume()
+	st.snapshot()
+	pass(st, 300*time.Millisecond)
+	require.Zero(t, weights(st)["v2"])
+	ReportSeen{Report: Report{Sender: "i1", SendReport: canary.SendReport{
+		Status: table.Status{Service: "svc", Attempt: 1, Outcome: table.OutcomeReverted},
+	}}}.apply(st)
+	pass(st, 10*time.Second)
+	require.Zero(t, weights(st)["v2"])
+}
+
+// Guards against new work at servers that fail or drain, and against servers in warm-up that get more
+// than one call.
+func TestVerdictsReachSnapshot(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		event func(st *state)
+		share ident.Slots
+	}{
+		{"warm", func(*state) {}, 4},
+		{"fails", func(st *state) { calls(st, "s0", "v1", 5, route.ResultFailed) }, 0},
+		{"drains", func(st *state) {
+			Probed{Service: "svc", Report: health.Report{Server: "s0", Draining: true}}.apply(st)
+		}, 0},
+		{"restarted", func(st *state) {
+			l := *st.services["svc"].listing
+			l.Revision++
+			l.Servers = append([]roster.Server(nil), l.Servers...)
+			l.Servers[0].Incarnation++
+			ListingSeen{Listing: &l}.apply(st)
+		}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			st := rollout()
+			tc.event(st)
+			var share ident.Slots
+			for _, srv := range st.snapshot().Services["svc"].Servers {
+				if srv.ID == "s0" {
+					share = srv.Share
+				}
+			}
+			require.Equal(t, tc.share, share)
+		})
+	}
+}
+
+// Guards against idle servers whose drain nobody notices, and against warmth that is reported for an
+// earlier life of a server.
+func TestProbesAndQuestions(t *testing.T) {
+	st := rollout()
+	probed := make(map[ident.ServerID]int)
+	for _, a := range pass(st, 30*time.Second) {
+		if p, ok := a.(Probe); ok {
+			probed[p.Server]++
+			require.True(t, p.Address.IsValid())
+			Probed{Service: "svc", Report: health.Report{Server: p.Server}, Bytes: 200}.apply(st)
+		}
+	}
+	require.Len(t, probed, 6)
+	reply := make(chan []health.Life, 1)
+	calls(st, "s0", "v1", 1, route.ResultOK)
+	WarmAsked{Service: "svc", Lives: []health.Life{{Server: "s0"}, {Server: "s0", Incarnation: 1}, {Server: "s1"}}, Reply: reply}.apply(st)
+	require.Equal(t, []health.Life{{Server: "s0"}}, <-reply)
+}
--- a/goldcreststand/internal/ctrl/events.go
+++ b/goldcreststand/internal/ctrl/events.go
@@ -45,6 +45,7 @@
 	s := st.service(e.Listing.Service)
 	if e.Listing.Newer(s.listing) {
 		s.listing = e.Listing
+		s.care.tracker.SetListing(e.Listing, st.now)
 	}
 	return nil
 }
@@ -53,6 +54,9 @@
 	return []Action{WatchServices(e)}
 }
 
-func (OutcomesSeen) apply(*state) []Action { return nil }
+func (e OutcomesSeen) apply(st *state) []Action {
+	st.observe(e.Outcomes)
+	return nil
+}
 
-func (tick) apply(*state) []Action { return nil }
+func (tick) apply(st *state) []Action { return st.tend() }
--- /dev/null
+++ b/goldcreststand/internal/ctrl/healthevents.go
@@ -0,0 +1,143 @@
+package ctrl
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"goldcreststand.example/core/health"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/probe"
+	"goldcreststand.example/core/route"
+)
+
+// AskWarm asks an instance which of the servers are warm. The response is a WarmSeen.
+type AskWarm struct {
+	To      ident.InstanceID
+	Service ident.ServiceName
+	Lives   []health.Life
+}
+
+// WarmSeen names servers that the instance which warms them up knows to be warm.
+type WarmSeen struct {
+	Service ident.ServiceName
+	Lives   []health.Life
+}
+
+// WarmAsked is another instance's AskWarm. Reply must have room for one value.
+type WarmAsked struct {
+	Service ident.ServiceName
+	Lives   []health.Life
+	Reply   chan<- []health.Life
+}
+
+// Probe asks for the health and load of a server to be read. The result is a Probed.
+type Probe struct {
+	Service ident.ServiceName
+	Server  ident.ServerID
+	Address netip.AddrPort
+}
+
+// Probed is the result of a Probe.
+type Probed struct {
+	Service ident.ServiceName
+	Report  health.Report
+	// Bytes is the number of bytes sent and received.
+	Bytes ident.Bytes
+}
+
+var (
+	_ Event = WarmSeen{}
+	_ Event = WarmAsked{}
+	_ Event = Probed{}
+)
+
+func (e WarmSeen) apply(st *state) []Action {
+	if s, ok := st.services[e.Service]; ok {
+		s.care.tracker.Learn(e.Lives, st.now)
+	}
+	return nil
+}
+
+func (e WarmAsked) apply(st *state) []Action {
+	var warm []health.Life
+	if s, ok := st.services[e.Service]; ok {
+		warm = s.care.tracker.Warm(e.Lives, st.now)
+	}
+	select {
+	case e.Reply <- warm:
+	default:
+	}
+	return nil
+}
+
+func (e Probed) apply(st *state) []Action {
+	if s, ok := st.services[e.Service]; ok {
+		s.care.tracker.Probed(e.Report, st.now)
+		s.care.planner.Done(e.Report.Server, e.Bytes)
+	}
+	return nil
+}
+
+// observe hands outcomes to the trackers and rollouts of their services.
+func (st *state) observe(outcomes []route.Outcome) {
+	slices.SortStableFunc(outcomes, func(a, b route.Outcome) int { return cmp.Compare(a.Service, b.Service) })
+	for len(outcomes) > 0 {
+		n := outcomes[0].Service
+		k := 1
+		for k < len(outcomes) && outcomes[k].Service == n {
+			k++
+		}
+		if s, ok := st.services[n]; ok {
+			s.observe(outcomes[:k], st)
+		}
+		outcomes = outcomes[k:]
+	}
+}
+
+func (s *service) observe(outcomes []route.Outcome, st *state) {
+	for _, o := range outcomes {
+		s.care.rollout.Observe(o, s.care.tracker.Verdict(o.Server, st.now).Fresh, st.now)
+	}
+	s.care.tracker.Observe(outcomes, st.now)
+}
+
+// tendHealth lets time act on the servers of a service and returns the questions and probes that are due.
+func (st *state) tendHealth(n ident.ServiceName, s *service) []Action {
+	c := s.care
+	c.tracker.Tick(st.now)
+	var out []Action
+	for _, q := range c.tracker.Questions(st.now) {
+		out = append(out, AskWarm{To: q.To, Service: n, Lives: q.Lives})
+	}
+	if s.listing == nil {
+		return out
+	}
+	var candidates []probe.Candidate
+	addresses := make(map[ident.ServerID]netip.AddrPort)
+	for _, b := range s.listing.Servers {
+		v := c.tracker.Verdict(b.ID, st.now)
+		if !v.First {
+			continue
+		}
+		addresses[b.ID] = b.Address
+		candidates = append(candidates, probe.Candidate{
+			Server: b.ID, Since: v.FirstSince, Due: v.Due, LastCall: v.LastCall,
+			Suspect: v.State == health.StateEjected || v.State == health.StateDraining,
+		})
+	}
+	for _, id := range c.planner.Plan(candidates, st.now) {
+		out = append(out, Probe{Service: n, Server: id, Address: addresses[id]})
+	}
+	return out
+}
+
+// resume tells all that keeps state in time that the instance was paused for longer than its last
+// snapshot was valid.
+func (st *state) resume() {
+	for _, s := range st.services {
+		s.care.tracker.Resume(st.now)
+		s.care.rollout.Resume(st.now)
+		s.care.planner.Resume()
+	}
+}
--- a/goldcreststand/internal/ctrl/loop.go
+++ b/goldcreststand/internal/ctrl/loop.go
@@ -121,6 +121,9 @@
 // handle applies the event and all that wait behind it, then publishes once.
 func (l *Loop) handle(ev Event) {
 	l.state.now = l.clock.Now()
+	if l.elapsed.Elapsed() > l.snapshot.Load().ValidUntil {
+		l.state.resume()
+	}
 	actions := ev.apply(l.state)
 	for range len(l.events) {
 		actions = append(actions, (<-l.events).apply(l.state)...)
--- a/goldcreststand/internal/ctrl/shares_test.go
+++ b/goldcreststand/internal/ctrl/shares_test.go
@@ -30,6 +30,7 @@
 		out[i].nodes, out[i].addresses = nodes, addresses
 		TableSeen{Table: t}.apply(out[i])
 		ListingSeen{Listing: list}.apply(out[i])
+		warm(out[i], list)
 	}
 	return out
 }
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -20,6 +20,8 @@
 	Traffic netip.AddrPort
 	// Count is the number of instances that serve a service.
 	Count int
+	// Probe is the budget of load measurement.
+	Probe ProbeBudget
 }
 
 // state is all control state. Only the control goroutine touches it.
@@ -40,6 +42,7 @@
 	listing *roster.Listing
 	loads   map[ident.ServerID]*route.Load
 	shares  *shares
+	care    *care
 }
 
 func newState(self Self) *state {
@@ -55,7 +58,7 @@
 func (st *state) service(n ident.ServiceName) *service {
 	s, ok := st.services[n]
 	if !ok {
-		s = &service{loads: make(map[ident.ServerID]*route.Load), shares: newShares()}
+		s = &service{loads: make(map[ident.ServerID]*route.Load), shares: newShares(), care: newCare(st, n)}
 		st.services[n] = s
 	}
 	return s
@@ -75,6 +78,7 @@
 func (st *state) serviceSnapshot(n ident.ServiceName, s *service) *route.Service {
 	out := &route.Service{Name: n, Revision: s.table.Revision}
 	s.shares.update(st.boot, st.self.ID, s, limit.Serving(s.table, n, st.nodes, st.self.Count))
+	s.care.follow(s, st.now)
 	ready := s.shares.ready(st.boot)
 	out.Entries = st.entries(ready)
 	out.Local = slices.ContainsFunc(ready, func(n place.Node) bool { return n.ID == st.self.ID })
@@ -82,11 +86,11 @@
 		return out
 	}
 	for _, b := range s.listing.Servers {
-		if srv := s.server(b); srv != nil {
+		if srv := s.server(b); srv != nil && s.care.admit(srv, st.now) {
 			out.Servers = append(out.Servers, srv)
 		}
 	}
-	out.Group(func(v ident.VersionName) ident.Weight { return route.VersionWeight(s.table, v) })
+	out.Group(func(v ident.VersionName) ident.Weight { return s.care.weight(v, route.VersionWeight(s.table, v)) })
 	return out
 }
 
