--- a/core/canary/decide.go
+++ b/core/canary/decide.go
@@ -9,17 +9,10 @@
 	"goldcreststand.example/core/table"
 )
 
-// Tick lets time act and returns what is to be done. rank is the place of this instance among the
-// serving ones, in placement order.
-func (r *Rollout) Tick(rank int, now time.Time) []Action {
-	var out []Action
-	deaf := r.move != nil && r.current.Outcome == table.OutcomeRunning && now.Sub(r.heard) > newsTime
-	if (!r.confirmed || deaf) && now.Sub(r.read) >= writeDelay {
-		r.read = now
-		out = append(out, ReadStatus{})
-	}
+// Tick lets time act and returns the report that is due to the other serving instances, or nil.
+func (r *Rollout) Tick(now time.Time) *Report {
 	if r.move == nil {
-		return out
+		return nil
 	}
 	if r.live(now) && now.Sub(r.sampled) >= sampleInterval {
 		r.sampled = now
@@ -30,29 +23,23 @@
 	if r.current.Outcome == table.OutcomeRunning {
 		r.advance(now)
 	}
-	return r.publish(out, rank, now)
+	return r.report(now)
 }
 
-// publish returns the reports and writes that are due.
-func (r *Rollout) publish(out []Action, rank int, now time.Time) []Action {
+func (r *Rollout) report(now time.Time) *Report {
 	switch {
 	case !r.confirmed && now.Sub(r.asked) >= askInterval:
 		r.asked = now
-		out = append(out, SendReport{Status: r.current, Asks: true})
+		return &Report{Status: r.current, Asks: true}
 	case r.announce > 0:
 		// A decision does not wait for the next counts.
 		r.announce--
-		out = append(out, SendReport{Status: r.current, Asks: !r.confirmed})
+		return &Report{Status: r.current, Asks: !r.confirmed}
 	case r.live(now) && r.confirmed && now.Sub(r.reported) >= reportInterval:
 		r.reported = now
-		out = append(out, SendReport{Status: r.current, Counts: r.counter.list(), Suspects: r.counter.worst()})
-	}
-	due := now.Sub(r.changed) >= time.Duration(rank)*writeDelay && now.Sub(r.written) >= writeDelay
-	if due && r.confirmed && Compare(r.stored, r.current) < 0 {
-		r.written = now
-		out = append(out, WriteStatus{Status: r.current})
+		return &Report{Status: r.current, Counts: r.counter.list(), Suspects: r.counter.worst()}
 	}
-	return out
+	return nil
 }
 
 // judge rolls the rollout back when the evidence against the new version is significant.
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -33,7 +33,7 @@
 	status table.Status
 	// current is the status of the move's attempt.
 	current table.Status
-	// confirmed says that a peer or the platform was heard since the start and the last pause.
+	// confirmed says that a peer was heard since the start and the last pause.
 	confirmed bool
 	heard     time.Time
 	// withheld says that the deadline passed while nobody could be heard.
@@ -44,10 +44,6 @@
 	stageFrom time.Time
 	doneAt    time.Time
 
-	stored   table.Status
-	changed  time.Time
-	written  time.Time
-	read     time.Time
 	sampled  time.Time
 	reported time.Time
 	asked    time.Time
@@ -93,35 +89,40 @@
 }
 
 // Asked takes the status of a peer that does not know whether it is up to date. It confirms nothing. A
-// newer status is sent back in any case.
+// newer status is sent back in any case. When all instances were paused at once, nobody can confirm; after
+// some time the join of what they told each other counts as up to date.
 func (r *Rollout) Asked(s table.Status, now time.Time) {
 	r.join(s, now)
+	if now.Sub(r.since) >= settleTime {
+		r.confirmed, r.heard = true, now
+	}
 	if r.confirmed || Compare(s, r.current) < 0 {
 		r.announce = max(r.announce, 1)
 	}
 }
 
-// Stored takes the platform's status of the service, or nil when there is none. The platform can be
-// behind the peers, so they get some time to respond before its status counts as up to date.
-func (r *Rollout) Stored(s *table.Status, now time.Time) {
+// Learn takes a status that was distributed. It can be behind the peers', so they get some time to respond
+// before it counts as up to date.
+func (r *Rollout) Learn(s table.Status, now time.Time) {
 	if now.Sub(r.since) >= askInterval {
 		r.confirmed, r.heard = true, now
 	}
-	if s == nil {
-		return
-	}
-	r.stored = Join(r.stored, *s)
-	r.join(*s, now)
+	r.join(s, now)
 }
 
-// Alone tells the rollout that no other instance serves the service, so that there is nobody to ask.
-func (r *Rollout) Alone(now time.Time) { r.confirmed, r.heard = true, now }
+// Alone tells the rollout that no other instance is known that serves the service. After some time that
+// says that there is nobody to ask.
+func (r *Rollout) Alone(now time.Time) {
+	if now.Sub(r.since) >= settleTime {
+		r.confirmed, r.heard = true, now
+	}
+}
 
 // Resume tells the rollout that the instance was paused: its status may be out of date.
 func (r *Rollout) Resume(now time.Time) {
 	r.confirmed = false
 	r.since = now
-	r.read, r.asked = now.Add(askInterval-writeDelay), time.Time{}
+	r.asked = time.Time{}
 }
 
 func (r *Rollout) join(s table.Status, now time.Time) {
@@ -144,7 +145,7 @@
 }
 
 func (r *Rollout) enterStage(now time.Time) {
-	r.stageFrom, r.changed = now, now
+	r.stageFrom = now
 	if r.current.Outcome != table.OutcomeRunning && r.doneAt.IsZero() {
 		r.doneAt = now
 	}
--- a/core/canary/settings.go
+++ b/core/canary/settings.go
@@ -25,15 +25,14 @@
 	// reportInterval is the time between two reports to the other serving instances. It is fixed,
 	// because periods that end at a bad call would bias the test.
 	reportInterval = 2 * time.Second
-	// writeDelay is the time for which an instance leaves the write of a status to those before it in
-	// placement order, and the time between two tries.
-	writeDelay = 3 * time.Second
 	// askInterval is the time that the other instances have to confirm a status after a start or a pause,
 	// and the time between two questions.
 	askInterval = time.Second
+	// settleTime is the time after a start or a pause in which other instances become known and respond.
+	settleTime = 5 * time.Second
 	// announcements is the number of messages with a new status, because one can get lost.
 	announcements = 3
-	// newsTime is the age of news from other instances or the platform beyond which a rollout is not
+	// newsTime is the age of news from other instances beyond which a rollout is not
 	// ended by its deadline alone: it may have finished elsewhere.
 	newsTime = 6 * time.Second
 	// headroom is the part of the new version's slots, in per mille, that the rollout plans to use.
--- a/goldcreststand/internal/ctrl/care.go
+++ b/goldcreststand/internal/ctrl/care.go
@@ -39,15 +39,20 @@
 }
 
 func newCare(st *state, n ident.ServiceName) *care {
+	c := &care{self: st.self.ID, rollout: canary.New(n, st.self.ID, st.now)}
+	c.forget(st, n)
+	return c
+}
+
+// forget drops what is known of the servers, because it grows old while the instance does not serve the
+// service.
+func (c *care) forget(st *state, n ident.ServiceName) {
 	// The seed differs between instances, so that their ejections do not end in step.
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(string(st.self.ID) + "/" + string(n)))
-	return &care{
-		self:    st.self.ID,
-		tracker: health.New(n, st.self.ID, rand.New(rand.NewPCG(h.Sum64(), 0))),
-		rollout: canary.New(n, st.self.ID, st.now),
-		planner: probe.New(st.self.Probe.Rate, st.self.Probe.Bytes, health.DefaultTakeDelay),
-	}
+	c.tracker = health.New(n, st.self.ID, rand.New(rand.NewPCG(h.Sum64(), st.self.Seed)))
+	c.planner = probe.New(st.self.Probe.Rate, st.self.Probe.Bytes, health.DefaultTakeDelay)
+	c.table, c.listing, c.serving = nil, nil, nil
 }
 
 // follow brings the holders of the servers' slots up to date. It is called for every snapshot, after the
--- a/goldcreststand/internal/ctrl/healthevents.go
+++ b/goldcreststand/internal/ctrl/healthevents.go
@@ -13,7 +13,7 @@
 
 // AskWarm asks an instance which of the servers are warm. The response is a WarmSeen.
 type AskWarm struct {
-	To      ident.InstanceID
+	To      netip.AddrPort
 	Service ident.ServiceName
 	Lives   []health.Life
 }
@@ -108,7 +108,9 @@
 	c.tracker.Tick(st.now)
 	var out []Action
 	for _, q := range c.tracker.Questions(st.now) {
-		out = append(out, AskWarm{To: q.To, Service: n, Lives: q.Lives})
+		if to, ok := st.peers[q.To]; ok {
+			out = append(out, AskWarm{To: to, Service: n, Lives: q.Lives})
+		}
 	}
 	if s.listing == nil {
 		return out
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -1,10 +1,12 @@
 package ctrl
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
+	"goldcreststand.example/core/dist"
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/limit"
 	"goldcreststand.example/core/place"
@@ -22,6 +24,10 @@
 	Count int
 	// Probe is the budget of load measurement.
 	Probe ProbeBudget
+	// Dist sets the distribution of tables, lists and statuses.
+	Dist dist.Config
+	// Seed is the seed of random choices.
+	Seed uint64
 }
 
 // state is all control state. Only the control goroutine touches it.
@@ -33,13 +39,19 @@
 	nodes []place.Node
 	// addresses holds the traffic address of each known instance.
 	addresses map[ident.InstanceID]netip.AddrPort
-	services  map[ident.ServiceName]*service
+	// peers holds the peer address of each known instance.
+	peers    map[ident.InstanceID]netip.AddrPort
+	services map[ident.ServiceName]*service
+	dist     *dist.Core
+	// distNodes are the instances that dist knows of.
+	distNodes []place.Node
 }
 
 // service is the control state of one service.
 type service struct {
 	table   *table.Table
 	listing *roster.Listing
+	status  *table.Status
 	loads   map[ident.ServerID]*route.Load
 	shares  *shares
 	care    *care
@@ -50,7 +62,9 @@
 		self:      self,
 		nodes:     []place.Node{{ID: self.ID, Domain: self.Domain}},
 		addresses: map[ident.InstanceID]netip.AddrPort{self.ID: self.Traffic},
+		peers:     make(map[ident.InstanceID]netip.AddrPort),
 		services:  make(map[ident.ServiceName]*service),
+		dist:      dist.New(self.ID, self.Dist, rand.New(rand.NewPCG(self.Seed, 0))),
 	}
 }
 
@@ -68,15 +82,18 @@
 func (st *state) snapshot() *route.Snapshot {
 	out := &route.Snapshot{Services: make(map[ident.ServiceName]*route.Service, len(st.services))}
 	for n, s := range st.services {
-		if s.table != nil {
-			out.Services[n] = st.serviceSnapshot(n, s)
-		}
+		out.Services[n] = st.serviceSnapshot(n, s)
 	}
 	return out
 }
 
 func (st *state) serviceSnapshot(n ident.ServiceName, s *service) *route.Service {
-	out := &route.Service{Name: n, Revision: s.table.Revision}
+	out := &route.Service{Name: n}
+	if s.table == nil {
+		out.Entries = st.entries(place.Serving(n, st.nodes, st.self.Count))
+		return out
+	}
+	out.Revision = s.table.Revision
 	s.shares.update(st.boot, st.self.ID, s, limit.Serving(s.table, n, st.nodes, st.self.Count))
 	s.care.follow(s, st.now)
 	ready := s.shares.ready(st.boot)
