goldcreststand: report rollouts, ask about warm servers and probe

Cause: control's actions on health and rollouts had no adapters.

Change: methods report and warm on the peer link (internal/peer, internal/report), probes of /health and /load over one counted connection (internal/prober), and their wiring.

Found on the way: a probe of a server with a large response counted 647 of 600 bytes, because reading began before the request was counted; responses now have a bound of their own.

--- a/goldcreststand/internal/cmd/servecmd.go
+++ b/goldcreststand/internal/cmd/servecmd.go
@@ -17,7 +17,9 @@
 	"goldcreststand.example/goldcreststand/internal/ctrl"
 	"goldcreststand.example/goldcreststand/internal/fetch"
 	"goldcreststand.example/goldcreststand/internal/peer"
+	"goldcreststand.example/goldcreststand/internal/prober"
 	"goldcreststand.example/goldcreststand/internal/proxy"
+	"goldcreststand.example/goldcreststand/internal/report"
 	"goldcreststand.example/goldcreststand/internal/watch"
 	"goldcreststand.example/lib/boot"
 	"goldcreststand.example/lib/cli"
@@ -56,12 +58,17 @@
 	link := peer.New(clock, logs.Part(log, "peer"))
 	x := fetch.New(s.Name, link, logs.Part(log, "fetch"))
 	link.ServeFetch(x)
-	loop := ctrl.New(newSelf(s), clock, boot.Clock{}, &executor{watcher: w, exchange: x})
+	reports := report.New(s.Name, link, logs.Part(log, "report"))
+	link.ServeReport(reports)
+	probes := prober.New(clock)
+	loop := ctrl.New(newSelf(s), clock, boot.Clock{}, &executor{watcher: w, exchange: x, reports: reports, prober: probes})
 	control, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go loop.Run(control)
 	go w.Run(control, loop)
 	go x.Run(control, loop)
+	go reports.Run(control, loop)
+	go probes.Run(control, loop)
 	if err := startPeer(control, s, link, logs.Part(log, "peer")); err != nil {
 		return err
 	}
@@ -79,6 +86,8 @@
 	<-loop.Done()
 	<-w.Done()
 	<-x.Done()
+	<-reports.Done()
+	<-probes.Done()
 	<-link.Done()
 	<-admission.Done()
 	return err
@@ -88,6 +97,8 @@
 type executor struct {
 	watcher  *watch.Watcher
 	exchange *fetch.Exchange
+	reports  *report.Exchange
+	prober   *prober.Prober
 }
 
 var _ ctrl.Executor = (*executor)(nil)
@@ -99,6 +110,12 @@
 		x.watcher.Do(a)
 	case ctrl.FetchPeer:
 		x.exchange.Do(a)
+	case ctrl.SendReport:
+		x.reports.Send(a)
+	case ctrl.AskWarm:
+		x.reports.Ask(a)
+	case ctrl.Probe:
+		x.prober.Do(a)
 	}
 }
 
@@ -108,7 +125,8 @@
 	cfg.Wait = s.Platform.Wait.Std()
 	return ctrl.Self{
 		ID: s.Name, Domain: s.Domain, Traffic: s.Traffic.Address, Count: s.Place.Count,
-		Dist: cfg, Seed: rand.Uint64(),
+		Probe: ctrl.ProbeBudget{Rate: s.Probe.Rate, Bytes: s.Probe.Bytes},
+		Dist:  cfg, Seed: rand.Uint64(),
 	}
 }
 
--- /dev/null
+++ b/goldcreststand/internal/prober/prober.go
@@ -0,0 +1,168 @@
+// Package prober reads the health and load of backend servers over HTTP for control.
+package prober
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"goldcreststand.example/core/health"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/probe"
+	"goldcreststand.example/goldcreststand/internal/ctrl"
+	"goldcreststand.example/schema/wire"
+)
+
+// Limits of a probe.
+const (
+	// timeout bounds a probe with its two requests.
+	timeout = 500 * time.Millisecond
+	// queueLength bounds the probes that wait or run; control starts at most eight at a time per service.
+	queueLength = 64
+	// requestBytes bounds the two requests. The rest of a probe's budget is for responses: reading may
+	// begin before the bytes of a request are counted.
+	requestBytes ident.Bytes = 150
+)
+
+// Poster hands events to control.
+type Poster interface {
+	Post(ctx context.Context, ev ctrl.Event) error
+}
+
+// Prober carries out probes.
+type Prober struct {
+	clock clockwork.Clock
+	queue chan ctrl.Probe
+	done  chan struct{}
+}
+
+// New returns a prober that has not started.
+func New(clock clockwork.Clock) *Prober {
+	return &Prober{clock: clock, queue: make(chan ctrl.Probe, queueLength), done: make(chan struct{})}
+}
+
+// Done is closed when Run and all its probes have returned.
+func (p *Prober) Done() <-chan struct{} { return p.done }
+
+// Do queues a probe and does not block. When the queue is full the probe is left out; its part of the budget
+// stays spent.
+func (p *Prober) Do(a ctrl.Probe) {
+	select {
+	case p.queue <- a:
+	default:
+	}
+}
+
+// Run carries out probes until the context ends and posts their results to to.
+func (p *Prober) Run(ctx context.Context, to Poster) {
+	defer close(p.done)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	free := make(chan struct{}, queueLength)
+	for {
+		select {
+		case a := <-p.queue:
+			select {
+			case free <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			wg.Go(func() {
+				defer func() { <-free }()
+				// Post fails only when the instance stops.
+				_ = to.Post(ctx, p.probe(ctx, a))
+			})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// probe asks for health and load over one connection.
+func (p *Prober) probe(ctx context.Context, a ctrl.Probe) ctrl.Probed {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var n atomic.Int64
+	transport := &http.Transport{
+		DisableCompression: true,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := new(net.Dialer).DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: c, n: &n}, nil
+		},
+	}
+	defer transport.CloseIdleConnections()
+	r := health.Report{Server: a.Server, Start: p.clock.Now()}
+	status, err := get(ctx, transport, a.Address, "/health", nil)
+	switch {
+	case err != nil:
+		r.Failed = true
+	case status == http.StatusServiceUnavailable:
+		r.Draining = true
+	case status != http.StatusOK:
+		r.Failed = true
+	default:
+		var l wire.Load
+		if status, err := get(ctx, transport, a.Address, "/load", &l); err == nil && status == http.StatusOK {
+			r.Slots = l.Slots
+		}
+	}
+	return ctrl.Probed{Service: a.Service, Report: r, Bytes: ident.Bytes(n.Load())}
+}
+
+// get reads the path and decodes the response into v, unless v is nil.
+func get(ctx context.Context, t http.RoundTripper, to netip.AddrPort, path string, v any) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+to.String()+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	// A short request leaves more probes in the budget.
+	req.Header.Set("User-Agent", "")
+	resp, err := t.RoundTrip(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, int64(probe.MaxBytes)))
+	if err == nil && v != nil {
+		err = json.Unmarshal(b, v)
+	}
+	return resp.StatusCode, err
+}
+
+// countingConn adds up the bytes that pass.
+type countingConn struct {
+	net.Conn
+	n *atomic.Int64
+	// received is the number of bytes read; only the transport's reading goroutine uses it.
+	received int64
+}
+
+// Read implements net.Conn. It reads no more than the budget of a probe foresees.
+func (c *countingConn) Read(b []byte) (int, error) {
+	left := int64(probe.MaxBytes-requestBytes) - c.received
+	if left <= 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n, err := c.Conn.Read(b[:min(int64(len(b)), left)])
+	c.received += int64(n)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.n.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/goldcreststand/internal/report/report.go
@@ -0,0 +1,159 @@
+// Package report exchanges rollout reports and questions about warm backend servers with the other
+// instances that serve a service.
+package report
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+
+	"github.com/zeebo/errs"
+
+	"goldcreststand.example/core/health"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/goldcreststand/internal/ctrl"
+	"goldcreststand.example/goldcreststand/internal/peer"
+	"goldcreststand.example/schema/wire"
+)
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("report")
+
+// concurrency bounds the calls of peers at a time, and the calls that wait.
+const concurrency = 64
+
+// Poster hands events to control.
+type Poster interface {
+	Post(ctx context.Context, ev ctrl.Event) error
+}
+
+// Link calls other instances.
+type Link interface {
+	Report(ctx context.Context, to netip.AddrPort, r *wire.Report) error
+	Warm(ctx context.Context, to netip.AddrPort, q *wire.Warmth) (*wire.Warmth, error)
+}
+
+// Log is the log of an Exchange.
+type Log interface {
+	Debugf(format string, args ...any)
+}
+
+// Exchange is both ends of the methods report and warm.
+type Exchange struct {
+	self   ident.InstanceID
+	link   Link
+	log    Log
+	queue  chan func(context.Context)
+	done   chan struct{}
+	mu     sync.Mutex
+	poster Poster
+}
+
+var _ peer.Reporter = (*Exchange)(nil)
+
+// New returns an exchange that has not started.
+func New(self ident.InstanceID, l Link, log Log) *Exchange {
+	return &Exchange{self: self, link: l, log: log, queue: make(chan func(context.Context), concurrency), done: make(chan struct{})}
+}
+
+// Done is closed when Run and all its calls have returned.
+func (x *Exchange) Done() <-chan struct{} { return x.done }
+
+// Send queues a report to each of its receivers and does not block. A report that finds the queue full is
+// left out: the next one carries the same counts and more.
+func (x *Exchange) Send(a ctrl.SendReport) {
+	msg := wire.FromReport(a.Report.Sender, a.Report.Report)
+	for _, to := range a.To {
+		x.enqueue(func(ctx context.Context) {
+			if err := x.link.Report(ctx, to, msg); err != nil {
+				x.log.Debugf("report to %s failed: %v", to, err)
+			}
+		})
+	}
+}
+
+// Ask queues a question and does not block. Control asks again when there is no response.
+func (x *Exchange) Ask(a ctrl.AskWarm) {
+	x.enqueue(func(ctx context.Context) {
+		got, err := x.link.Warm(ctx, a.To, wire.FromLives(a.Service, a.Lives))
+		if err != nil {
+			x.log.Debugf("question to %s failed: %v", a.To, err)
+			return
+		}
+		if len(got.Lives) > 0 {
+			// Posting fails only when the instance stops.
+			_ = x.post(ctx, ctrl.WarmSeen{Service: a.Service, Lives: got.Core()})
+		}
+	})
+}
+
+func (x *Exchange) enqueue(call func(context.Context)) {
+	select {
+	case x.queue <- call:
+	default:
+		x.log.Debugf("queue is full; a call was left out")
+	}
+}
+
+// Run makes calls until the context ends and posts to p.
+func (x *Exchange) Run(ctx context.Context, p Poster) {
+	defer close(x.done)
+	x.mu.Lock()
+	x.poster = p
+	x.mu.Unlock()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	free := make(chan struct{}, concurrency)
+	for {
+		select {
+		case call := <-x.queue:
+			select {
+			case free <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			wg.Go(func() {
+				defer func() { <-free }()
+				call(ctx)
+			})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (x *Exchange) post(ctx context.Context, ev ctrl.Event) error {
+	x.mu.Lock()
+	p := x.poster
+	x.mu.Unlock()
+	if p == nil {
+		return Error.New("instance is starting")
+	}
+	return Error.Wrap(p.Post(ctx, ev))
+}
+
+// Report takes a peer's report.
+func (x *Exchange) Report(ctx context.Context, r *wire.Report) (*wire.Receipt, error) {
+	core, err := r.Core()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := x.post(ctx, ctrl.ReportSeen{Report: ctrl.Report{Sender: r.Sender, Report: core}}); err != nil {
+		return nil, err
+	}
+	return &wire.Receipt{Sender: x.self}, nil
+}
+
+// Warm answers a peer from control's state.
+func (x *Exchange) Warm(ctx context.Context, q *wire.Warmth) (*wire.Warmth, error) {
+	reply := make(chan []health.Life, 1)
+	if err := x.post(ctx, ctrl.WarmAsked{Service: q.Service, Lives: q.Core(), Reply: reply}); err != nil {
+		return nil, err
+	}
+	select {
+	case lives := <-reply:
+		return wire.FromLives(q.Service, lives), nil
+	case <-ctx.Done():
+		return nil, Error.Wrap(ctx.Err())
+	}
+}
--- /dev/null
+++ b/schema/wire/report.go
@@ -0,0 +1,59 @@
+package wire
+
+import (
+	"goldcreststand.example/core/canary"
+	"goldcreststand.example/core/health"
+	"goldcreststand.example/core/ident"
+)
+
+// FromReport returns the message for what the sender tells about a rollout.
+func FromReport(sender ident.InstanceID, r canary.Report) *Report {
+	out := &Report{
+		Service: r.Status.Service, Attempt: r.Status.Attempt, Sender: sender, Status: *FromStatus(&r.Status), Asks: r.Asks,
+		Counts: make([]Count, len(r.Counts)), Suspects: make([]Suspect, len(r.Suspects)),
+	}
+	for i, c := range r.Counts {
+		out.Counts[i] = Count{Version: c.Version, Route: c.Route, Calls: c.Calls, Failures: c.Failures, Slow: c.Slow}
+	}
+	for i, s := range r.Suspects {
+		out.Suspects[i] = Suspect{Server: s.Server, Failures: s.Failures, Slow: s.Slow}
+	}
+	return out
+}
+
+// Core returns what the message tells about a rollout.
+func (j *Report) Core() (canary.Report, error) {
+	st, err := j.Status.Core(j.Service)
+	if err != nil {
+		return canary.Report{}, err
+	}
+	out := canary.Report{
+		Status: *st, Asks: j.Asks,
+		Counts: make([]canary.Count, len(j.Counts)), Suspects: make([]canary.Suspect, len(j.Suspects)),
+	}
+	for i, c := range j.Counts {
+		out.Counts[i] = canary.Count{Version: c.Version, Route: c.Route, Calls: c.Calls, Failures: c.Failures, Slow: c.Slow}
+	}
+	for i, s := range j.Suspects {
+		out.Suspects[i] = canary.Suspect{Server: s.Server, Failures: s.Failures, Slow: s.Slow}
+	}
+	return out, nil
+}
+
+// FromLives returns the message for lives of backend servers.
+func FromLives(n ident.ServiceName, ls []health.Life) *Warmth {
+	out := &Warmth{Service: n, Lives: make([]Life, len(ls))}
+	for i, l := range ls {
+		out.Lives[i] = Life{Server: l.Server, Incarnation: l.Incarnation}
+	}
+	return out
+}
+
+// Core returns the lives of backend servers that the message names.
+func (j *Warmth) Core() []health.Life {
+	out := make([]health.Life, len(j.Lives))
+	for i, l := range j.Lives {
+		out[i] = health.Life{Server: l.Server, Incarnation: l.Incarnation}
+	}
+	return out
+}
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -881,6 +881,30 @@
 	return nil
 }
 
+// Receipt is the result of the method report.
+type Receipt struct {
+	// Instance that took the report.
+	Sender ident.InstanceID `json:"sender"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Receipt) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["sender"]; raw != nil && !ok {
+		return fmt.Errorf("field sender in Receipt: required")
+	}
+	type Plain Receipt
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Receipt(plain)
+	return nil
+}
+
 // Removal remembers who removed a row.
 type Removal struct {
 	// Operator who removed the row.
