--- a/goldcreststand/internal/ctrl/events.go
+++ b/goldcreststand/internal/ctrl/events.go
@@ -37,10 +37,14 @@
 	s := st.service(e.Listing.Service)
 	if e.Listing.Newer(s.listing) {
 		s.listing = e.Listing
+		s.care.tracker.SetListing(e.Listing, st.now)
 	}
 	return nil
 }
 
-func (OutcomesSeen) apply(*state) []Action { return nil }
+func (e OutcomesSeen) apply(st *state) []Action {
+	st.observe(e.Outcomes)
+	return nil
+}
 
-func (tick) apply(st *state) []Action { return st.distTick() }
+func (tick) apply(st *state) []Action { return append(st.distTick(), st.tend()...) }
--- /dev/null
+++ b/goldcreststand/internal/ctrl/moveevents.go
@@ -0,0 +1,88 @@
+package ctrl
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+
+	"goldcreststand.example/core/canary"
+	"goldcreststand.example/core/dist"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/place"
+)
+
+// SendReport asks for a report to be sent to other serving instances.
+type SendReport struct {
+	To     []netip.AddrPort
+	Report Report
+}
+
+// Report is what one serving instance tells the others about a rollout.
+type Report struct {
+	Sender ident.InstanceID
+	canary.Report
+}
+
+// ReportSeen is another instance's Report.
+type ReportSeen struct{ Report Report }
+
+var _ Event = ReportSeen{}
+
+func (e ReportSeen) apply(st *state) []Action {
+	s, ok := st.services[e.Report.Status.Service]
+	if !ok {
+		return nil
+	}
+	r := e.Report
+	if r.Asks {
+		s.care.rollout.Asked(r.Status, st.now)
+	} else {
+		s.care.rollout.Join(r.Status, st.now)
+	}
+	s.care.rollout.Merge(r.Sender, r.Status.Attempt, r.Counts, r.Suspects, st.now)
+	return nil
+}
+
+// tend lets time act on all services and returns what is due, in a fixed order.
+func (st *state) tend() []Action {
+	var out []Action
+	for _, n := range slices.Sorted(maps.Keys(st.services)) {
+		s := st.services[n]
+		if s.table == nil || !slices.ContainsFunc(s.shares.serving, st.isSelf) {
+			continue
+		}
+		out = append(out, st.tendHealth(n, s)...)
+		out = append(out, st.tendRollout(s)...)
+	}
+	return out
+}
+
+func (st *state) tendRollout(s *service) []Action {
+	r := s.care.rollout
+	if !slices.ContainsFunc(s.shares.serving, st.isOther) {
+		r.Alone(st.now)
+	}
+	r.SetMove(s.table.Move, st.now)
+	r.SetCapacity(s.capacity(st.now))
+	var out []Action
+	if report := r.Tick(st.now); report != nil {
+		a := SendReport{Report: Report{Sender: st.self.ID, Report: *report}}
+		for _, node := range s.shares.serving {
+			if to, ok := st.peers[node.ID]; ok && st.isOther(node) {
+				a.To = append(a.To, to)
+			}
+		}
+		if len(a.To) > 0 {
+			out = append(out, a)
+		}
+	}
+	if now, ok := r.Status(); ok && now.Newer(s.status) {
+		// The distribution stores the status on the platform and tells the instances that do not report.
+		out = append(out, st.distribute(dist.Advance{Status: &now})...)
+	}
+	return out
+}
+
+func (st *state) isSelf(n place.Node) bool { return n.ID == st.self.ID }
+
+func (st *state) isOther(n place.Node) bool { return n.ID != st.self.ID }
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -22,6 +22,8 @@
 	Traffic netip.AddrPort
 	// Count is the number of instances that serve a service.
 	Count int
+	// Probe is the budget of load measurement.
+	Probe ProbeBudget
 	// Dist sets the distribution of tables, lists and statuses.
 	Dist dist.Config
 	// Seed is the seed of random choices.
@@ -52,6 +54,7 @@
 	status  *table.Status
 	loads   map[ident.ServerID]*route.Load
 	shares  *shares
+	care    *care
 }
 
 func newState(self Self) *state {
@@ -69,7 +72,7 @@
 func (st *state) service(n ident.ServiceName) *service {
 	s, ok := st.services[n]
 	if !ok {
-		s = &service{loads: make(map[ident.ServerID]*route.Load), shares: newShares()}
+		s = &service{loads: make(map[ident.ServerID]*route.Load), shares: newShares(), care: newCare(st, n)}
 		st.services[n] = s
 	}
 	return s
@@ -93,6 +96,7 @@
 	}
 	out.Revision = s.table.Revision
 	s.shares.update(st.boot, st.self.ID, s, limit.Serving(s.table, n, st.nodes, st.self.Count))
+	s.care.follow(s, st.now)
 	ready := s.shares.ready(st.boot)
 	out.Entries = st.entries(ready)
 	out.Local = slices.ContainsFunc(ready, func(n place.Node) bool { return n.ID == st.self.ID })
@@ -100,11 +104,11 @@
 		return out
 	}
 	for _, b := range s.listing.Servers {
-		if srv := s.server(b); srv != nil {
+		if srv := s.server(b); srv != nil && s.care.admit(srv, st.now) {
 			out.Servers = append(out.Servers, srv)
 		}
 	}
-	out.Group(func(v ident.VersionName) ident.Weight { return route.VersionWeight(s.table, v) })
+	out.Group(func(v ident.VersionName) ident.Weight { return s.care.weight(v, route.VersionWeight(s.table, v)) })
 	return out
 }
 
