fakebackend: count doubled calls apart, register beside other versions

Cause: hedges repeat idempotent calls by design, so the count of repeats could not show whether a call that must run once ran twice; a second fleet of the same service replaced the first one's servers in the platform's list. Change: the tally counts repeats of requests that are not safe as doubled, and registration reads the list and replaces only its own servers. The existing test now expects the doubled POST as well. Ruled out: a mark in the request id (the method says it already). Conclusion: at-most-once can be read off the stand-ins after any run.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -105,7 +105,7 @@
 
 section "version rollout of inventory from v1 to v2"
 start inventory-v2 bin/fakebackend serve -service inventory -version v2 -count 18 -base $host:19200 -control $host:19902 -platform $platform
-await "version v2" curl -sf $host:19902/executions
+await "version v2" curl -sf $host:19902/tally
 ctl move -platform $platform -service inventory -from v1 -to v2 -by 25s -author demo
 ctl progress -platform $platform -service inventory -wait -timeout 40s || true
 
@@ -117,8 +117,8 @@
   echo "-- $s"
   cat "$dir/$s.txt"
 done
-echo "-- executions that were repeated or above a server's slots"
-for p in 19900 19901 19902; do curl -s $host:$p/summary && echo; done
+echo "-- calls at the backend servers; "doubled" are non-idempotent calls that ran twice, "violations" are calls above a server's slots"
+for p in 19900 19901 19902; do curl -s $host:$p/tally && echo; done
 echo "-- calls of the platform"
 curl -s $platform/control/calls && echo
 exit $status
--- a/fakebackend/internal/cmd/servecmd.go
+++ b/fakebackend/internal/cmd/servecmd.go
@@ -1,9 +1,7 @@
 package cmd
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"net"
@@ -66,7 +64,7 @@
 	}
 	defer func() { _ = control.Close() }()
 	go func() { _ = http.Serve(control, fl.Control()) }()
-	if err := f.register(ctx, servers); err != nil {
+	if err := register(ctx, f.platform, ident.ServiceName(f.service), servers); err != nil {
 		return err
 	}
 	_, _ = fmt.Fprintf(cfg.Out, "fakebackend: %d servers of %s from %s, control at %s\n", f.count, f.service, f.base, f.control)
@@ -94,29 +92,3 @@
 	}
 	return out, nil
 }
-
-// register tells the platform stand-in about the servers.
-func (f *serveFlags) register(ctx context.Context, servers []wire.Server) error {
-	b, err := json.Marshal(&wire.Listing{
-		Service:  ident.ServiceName(f.service),
-		Revision: ident.Revision(time.Now().UnixMilli()),
-		Servers:  servers,
-	})
-	if err != nil {
-		return err
-	}
-	url := f.platform + "/control/instances/" + f.service
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(b))
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	_ = resp.Body.Close()
-	if resp.StatusCode != http.StatusNoContent {
-		return fmt.Errorf("platform refused the servers of %s: %s", f.service, resp.Status)
-	}
-	return nil
-}
--- a/fakebackend/internal/fleet/fleet.go
+++ b/fakebackend/internal/fleet/fleet.go
@@ -74,7 +74,8 @@
 
 // tally sums the counts of the servers.
 func (f *Fleet) tally(servers []*Server) wire.Tally {
-	t := wire.Tally{Repeated: int(f.executed.repeats())}
+	all, doubled := f.executed.repeats()
+	t := wire.Tally{Repeated: int(all), Doubled: int(doubled)}
 	for _, s := range servers {
 		peak, exceeded := s.capacity.counts()
 		t.Executed += int(s.calls.Load())
--- a/fakebackend/internal/fleet/fleet_test.go
+++ b/fakebackend/internal/fleet/fleet_test.go
@@ -103,7 +103,7 @@
 	f.Control().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/tally", nil))
 	var got wire.Tally
 	require.NoError(t, json.Unmarshal(rec.Body.Bytes(), &got))
-	require.Equal(t, wire.Tally{Executed: 2, Repeated: 1, Peak: 1, Connections: 1}, got)
+	require.Equal(t, wire.Tally{Executed: 2, Repeated: 1, Doubled: 1, Peak: 1, Connections: 1}, got)
 }
 
 // Guards against a silent connection that loses only the response.
--- a/fakebackend/internal/fleet/server.go
+++ b/fakebackend/internal/fleet/server.go
@@ -115,7 +115,7 @@
 	defer func() { s.capacity.leave(completed) }()
 	req := c.Request()
 	s.calls.Add(1)
-	s.executed.add(req.Header.Get(requestHeader))
+	s.executed.add(req)
 	work := s.work
 	bad := f.bad(time.Now(), n, routeOf(req))
 	switch {
@@ -169,7 +169,7 @@
 	if err != nil {
 		return nil
 	}
-	s.executed.add(next.Header.Get(requestHeader))
+	s.executed.add(next)
 	_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 	return nil
 }
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -1362,6 +1362,10 @@
 	// Connections that were accepted.
 	Connections int `json:"connections"`
 
+	// Executions beyond the first one of a request id whose method is not safe, over
+	// all servers.
+	Doubled int `json:"doubled"`
+
 	// Calls that were executed.
 	Executed int `json:"executed"`
 
@@ -1387,6 +1391,9 @@
 	if _, ok := raw["connections"]; raw != nil && !ok {
 		return fmt.Errorf("field connections in Tally: required")
 	}
+	if _, ok := raw["doubled"]; raw != nil && !ok {
+		return fmt.Errorf("field doubled in Tally: required")
+	}
 	if _, ok := raw["executed"]; raw != nil && !ok {
 		return fmt.Errorf("field executed in Tally: required")
 	}
@@ -1410,6 +1417,9 @@
 	if 0 > plain.Connections {
 		return fmt.Errorf("field %s: must be >= %v", "connections", 0)
 	}
+	if 0 > plain.Doubled {
+		return fmt.Errorf("field %s: must be >= %v", "doubled", 0)
+	}
 	if 0 > plain.Executed {
 		return fmt.Errorf("field %s: must be >= %v", "executed", 0)
 	}
