--- /dev/null
+++ b/goldcreststand/internal/cmd/daemon.go
@@ -0,0 +1,147 @@
+package cmd
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"goldcreststand.example/core/dist"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/route"
+	"goldcreststand.example/goldcreststand/internal/admin"
+	"goldcreststand.example/goldcreststand/internal/ctrl"
+	"goldcreststand.example/goldcreststand/internal/fetch"
+	"goldcreststand.example/goldcreststand/internal/peer"
+	"goldcreststand.example/goldcreststand/internal/prober"
+	"goldcreststand.example/goldcreststand/internal/proxy"
+	"goldcreststand.example/goldcreststand/internal/report"
+	"goldcreststand.example/goldcreststand/internal/watch"
+	"goldcreststand.example/lib/boot"
+	"goldcreststand.example/lib/logs"
+	"goldcreststand.example/lib/plat"
+	"goldcreststand.example/lib/stats"
+	"goldcreststand.example/schema/config"
+	"goldcreststand.example/schema/wire"
+)
+
+// daemon holds the parts of an instance.
+type daemon struct {
+	settings  *config.Settings
+	log       *logrus.Logger
+	loop      *ctrl.Loop
+	link      *peer.Peer
+	watcher   *watch.Watcher
+	exchange  *fetch.Exchange
+	reports   *report.Exchange
+	prober    *prober.Prober
+	admission *proxy.Admission
+	traffic   *proxy.Handler
+}
+
+// newDaemon builds the parts; none runs yet.
+func newDaemon(s *config.Settings, clock clockwork.Clock, log *logrus.Logger) *daemon {
+	d := &daemon{settings: s, log: log}
+	d.watcher = watch.New(plat.New(s.Platform.URL, s.Platform.Timeout.Std()), clock, logs.Part(log, "watch"))
+	d.link = peer.New(clock, logs.Part(log, "peer"))
+	d.exchange = fetch.New(s.Name, d.link, logs.Part(log, "fetch"))
+	d.reports = report.New(s.Name, d.link, logs.Part(log, "report"))
+	d.prober = prober.New(clock)
+	d.link.ServeFetch(d.exchange)
+	d.link.ServeReport(d.reports)
+	d.link.ServePing(selfOnly{id: s.Name})
+	d.loop = ctrl.New(newSelf(s), clock, boot.Clock{}, &executor{
+		watcher: d.watcher, exchange: d.exchange, reports: d.reports, prober: d.prober,
+	})
+	d.admission = proxy.NewAdmission(d.loop, route.Proportional{}, boot.Clock{})
+	metrics := stats.New()
+	expvar.Publish("calls", metrics)
+	d.traffic = proxy.New(proxy.Options{
+		Timeout: s.Traffic.Timeout.Std(), Maximum: s.Traffic.Maximum.Std(), Lifetime: s.Place.Lifetime.Std(),
+		Buffer: s.Traffic.Buffer, Resend: s.Traffic.Resend,
+	}, d.loop, d.admission, boot.Clock{}, proxy.WithClock(clock), proxy.WithMetrics(metrics),
+		proxy.WithLog(logs.Part(log, "proxy")), proxy.WithSink(&outcomeSink{loop: d.loop}))
+	return d
+}
+
+// run serves until the context ends, drains, and returns when all parts have stopped.
+func (d *daemon) run(ctx context.Context) error {
+	// The parts go on until the calls in flight have ended.
+	control, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	sock, err := net.Listen("tcp", d.settings.Peer.Address.String())
+	if err != nil {
+		return err
+	}
+	d.start(control, sock)
+	err = serveAll(ctx, []*listener{
+		newListener("traffic", d.settings.Traffic.Address.String(), d.traffic),
+		newListener("admin", d.settings.Admin.Address.String(), admin.New(d.settings.Name, d.settings.Domain, d.loop)),
+	}, d.settings.Traffic.Drain.Std(), logs.Part(d.log, "serve"))
+	stop()
+	d.wait()
+	return err
+}
+
+// start runs each part in a goroutine of its own.
+func (d *daemon) start(ctx context.Context, sock net.Listener) {
+	log := logs.Part(d.log, "peer")
+	log.Infof("listens on %s", sock.Addr())
+	go func() {
+		if err := d.link.Run(ctx, sock); err != nil {
+			log.Errorf("listener failed: %v", err)
+		}
+	}()
+	go d.loop.Run(ctx)
+	go d.watcher.Run(ctx, d.loop)
+	go d.exchange.Run(ctx, d.loop)
+	go d.reports.Run(ctx, d.loop)
+	go d.prober.Run(ctx, d.loop)
+	go d.admission.Run(ctx, d.loop.Published())
+	go d.traffic.Run(ctx)
+}
+
+// wait returns when all parts have stopped.
+func (d *daemon) wait() {
+	for _, p := range []interface{ Done() <-chan struct{} }{
+		d.loop, d.watcher, d.exchange, d.reports, d.prober, d.link, d.admission, d.traffic,
+	} {
+		<-p.Done()
+	}
+}
+
+// newSelf returns what control knows of this instance from the settings.
+func newSelf(s *config.Settings) ctrl.Self {
+	cfg := dist.DefaultConfig(s.Place.Count)
+	cfg.Wait = s.Platform.Wait.Std()
+	return ctrl.Self{
+		ID: s.Name, Domain: s.Domain, Traffic: s.Traffic.Address, Count: s.Place.Count,
+		Probe: ctrl.ProbeBudget{Rate: s.Probe.Rate, Bytes: s.Probe.Bytes},
+		Dist:  cfg, Seed: rand.Uint64(),
+	}
+}
+
+// selfOnly answers heartbeats for an instance that does not take part in membership yet.
+type selfOnly struct{ id ident.InstanceID }
+
+var _ peer.Pinger = selfOnly{}
+
+// Ping answers with the instance's identifier.
+func (s selfOnly) Ping(context.Context, *wire.Ping) (*wire.Pong, error) {
+	return &wire.Pong{Sender: s.id}, nil
+}
+
+// outcomeSink hands the outcomes of traffic to control.
+type outcomeSink struct {
+	loop *ctrl.Loop
+}
+
+var _ proxy.Sink = (*outcomeSink)(nil)
+
+// Offer posts the batch when control has room for it.
+func (s *outcomeSink) Offer(batch []route.Outcome) bool {
+	return s.loop.TryPost(ctrl.OutcomesSeen{Outcomes: batch})
+}
--- a/goldcreststand/internal/cmd/servecmd.go
+++ b/goldcreststand/internal/cmd/servecmd.go
@@ -2,38 +2,17 @@
 
 import (
 	"context"
-	"expvar"
 	"flag"
-	"math/rand/v2"
-	"net"
-	"net/http"
 	"os"
 	"runtime/debug"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 
-	"goldcreststand.example/core/dist"
-	"goldcreststand.example/core/ident"
-	"goldcreststand.example/core/route"
-	"goldcreststand.example/goldcreststand/internal/admin"
-	"goldcreststand.example/goldcreststand/internal/ctrl"
-	"goldcreststand.example/goldcreststand/internal/fetch"
-	"goldcreststand.example/goldcreststand/internal/peer"
-	"goldcreststand.example/goldcreststand/internal/proxy"
-	"goldcreststand.example/goldcreststand/internal/watch"
-	"goldcreststand.example/lib/boot"
 	"goldcreststand.example/lib/cli"
 	"goldcreststand.example/lib/logs"
-	"goldcreststand.example/lib/plat"
-	"goldcreststand.example/lib/stats"
 	"goldcreststand.example/schema/config"
-	"goldcreststand.example/schema/wire"
 )
 
-// headerTimeout bounds the time in which a request's headers must arrive.
-const headerTimeout = 10 * time.Second
-
 // gcPercent lets the heap grow to five times its live part between collections. The live part is a few
 // megabytes, so that the default of 100 collects many times per second, which shows in the 99th
 // percentile of the latency (BenchmarkCall).
@@ -63,112 +42,5 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	clock := clockwork.NewRealClock()
-	w := watch.New(plat.New(s.Platform.URL, s.Platform.Timeout.Std()), clock, logs.Part(log, "watch"))
-	link := peer.New(clock, logs.Part(log, "peer"))
-	x := fetch.New(s.Name, link, logs.Part(log, "fetch"))
-	link.ServeFetch(x)
-	loop := ctrl.New(newSelf(s), clock, boot.Clock{}, &executor{watcher: w, exchange: x})
-	metrics := stats.New()
-	expvar.Publish("calls", metrics)
-	control, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	go loop.Run(control)
-	go w.Run(control, loop)
-	go x.Run(control, loop)
-	if err := startPeer(control, s, link, logs.Part(log, "peer")); err != nil {
-		return err
-	}
-	admission := proxy.NewAdmission(loop, route.Proportional{}, boot.Clock{})
-	go admission.Run(control, loop.Published())
-	traffic := proxy.New(proxy.Options{
-		Timeout: s.Traffic.Timeout.Std(), Maximum: s.Traffic.Maximum.Std(), Lifetime: s.Place.Lifetime.Std(),
-		Buffer: s.Traffic.Buffer, Resend: s.Traffic.Resend,
-	}, loop, admission, boot.Clock{}, proxy.WithClock(clock), proxy.WithMetrics(metrics),
-		proxy.WithLog(logs.Part(log, "proxy")), proxy.WithSink(&outcomeSink{loop: loop}))
-	go traffic.Run(control)
-	servers := []*listener{
-		newListener("traffic", s.Traffic.Address.String(), traffic),
-		newListener("admin", s.Admin.Address.String(), admin.New(s.Name, s.Domain, loop)),
-	}
-	err = serveAll(ctx, servers, s.Traffic.Drain.Std(), logs.Part(log, "serve"))
-	stop()
-	<-loop.Done()
-	<-w.Done()
-	<-x.Done()
-	<-link.Done()
-	<-admission.Done()
-	<-traffic.Done()
-	return err
-}
-
-// executor hands control's actions to the adapters.
-type executor struct {
-	watcher  *watch.Watcher
-	exchange *fetch.Exchange
-}
-
-var _ ctrl.Executor = (*executor)(nil)
-
-// Do queues the action with the adapter that carries it out.
-func (x *executor) Do(a ctrl.Action) {
-	switch a := a.(type) {
-	case dist.Watch, dist.Unwatch, dist.Store:
-		x.watcher.Do(a)
-	case ctrl.FetchPeer:
-		x.exchange.Do(a)
-	}
-}
-
-// newSelf returns what control knows of this instance from the settings.
-func newSelf(s *config.Settings) ctrl.Self {
-	cfg := dist.DefaultConfig(s.Place.Count)
-	cfg.Wait = s.Platform.Wait.Std()
-	return ctrl.Self{
-		ID: s.Name, Domain: s.Domain, Traffic: s.Traffic.Address, Count: s.Place.Count,
-		Dist: cfg, Seed: rand.Uint64(),
-	}
-}
-
-// startPeer opens the link to other instances.
-func startPeer(ctx context.Context, s *config.Settings, p *peer.Peer, log *logs.Prefixed) error {
-	sock, err := net.Listen("tcp", s.Peer.Address.String())
-	if err != nil {
-		return err
-	}
-	p.ServePing(selfOnly{id: s.Name})
-	log.Infof("listens on %s", sock.Addr())
-	go func() {
-		if err := p.Run(ctx, sock); err != nil {
-			log.Errorf("listener failed: %v", err)
-		}
-	}()
-	return nil
-}
-
-// selfOnly answers heartbeats for an instance that does not take part in membership yet.
-type selfOnly struct{ id ident.InstanceID }
-
-var _ peer.Pinger = selfOnly{}
-
-// Ping answers with the instance's identifier.
-func (s selfOnly) Ping(context.Context, *wire.Ping) (*wire.Pong, error) {
-	return &wire.Pong{Sender: s.id}, nil
-}
-
-// outcomeSink hands the outcomes of traffic to control.
-type outcomeSink struct {
-	loop *ctrl.Loop
-}
-
-var _ proxy.Sink = (*outcomeSink)(nil)
-
-// Offer posts the batch when control has room for it.
-func (s *outcomeSink) Offer(batch []route.Outcome) bool {
-	return s.loop.TryPost(ctrl.OutcomesSeen{Outcomes: batch})
-}
-
-// newListener returns a listener that has not started.
-func newListener(name, address string, h http.Handler) *listener {
-	return &listener{name: name, srv: &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout}}
+	return newDaemon(s, clockwork.NewRealClock(), log).run(ctx)
 }
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -376,6 +376,36 @@
 	return nil
 }
 
+// Life names one life of a backend server.
+type Life struct {
+	// Number of the server's life.
+	Incarnation ident.Incarnation `json:"incarnation"`
+
+	// Identifier of the backend server.
+	Server ident.ServerID `json:"server"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Life) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["incarnation"]; raw != nil && !ok {
+		return fmt.Errorf("field incarnation in Life: required")
+	}
+	if _, ok := raw["server"]; raw != nil && !ok {
+		return fmt.Errorf("field server in Life: required")
+	}
+	type Plain Life
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Life(plain)
+	return nil
+}
+
 // Listing is the platform's list of the backend servers of a service.
 type Listing struct {
 	// Number of the change, growing.
@@ -851,6 +881,30 @@
 	return nil
 }
 
+// Receipt is the result of the method report.
+type Receipt struct {
+	// Instance that took the report.
+	Sender ident.InstanceID `json:"sender"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Receipt) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["sender"]; raw != nil && !ok {
+		return fmt.Errorf("field sender in Receipt: required")
+	}
+	type Plain Receipt
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Receipt(plain)
+	return nil
+}
+
 // Removal remembers who removed a row.
 type Removal struct {
 	// Operator who removed the row.
@@ -899,9 +953,12 @@
 	return nil
 }
 
-// Report is the parameter of the method report: outcome counts of a version
-// rollout.
+// Report is the parameter of the method report: the sender's rollout status and
+// its outcome counts.
 type Report struct {
+	// Whether the sender does not know if its status is up to date.
+	Asks bool `json:"asks"`
+
 	// Number of the rollout.
 	Attempt ident.Attempt `json:"attempt"`
 
@@ -913,6 +970,12 @@
 
 	// Service of the rollout.
 	Service ident.ServiceName `json:"service"`
+
+	// Status corresponds to the JSON schema field "status".
+	Status Status `json:"status"`
+
+	// Servers of the new version with recent bad calls, worst first.
+	Suspects []Suspect `json:"suspects"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -921,6 +984,9 @@
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
+	if _, ok := raw["asks"]; raw != nil && !ok {
+		return fmt.Errorf("field asks in Report: required")
+	}
 	if _, ok := raw["attempt"]; raw != nil && !ok {
 		return fmt.Errorf("field attempt in Report: required")
 	}
@@ -933,6 +999,12 @@
 	if _, ok := raw["service"]; raw != nil && !ok {
 		return fmt.Errorf("field service in Report: required")
 	}
+	if _, ok := raw["status"]; raw != nil && !ok {
+		return fmt.Errorf("field status in Report: required")
+	}
+	if _, ok := raw["suspects"]; raw != nil && !ok {
+		return fmt.Errorf("field suspects in Report: required")
+	}
 	type Plain Report
 	var plain Plain
 	if err := json.Unmarshal(value, &plain); err != nil {
@@ -941,6 +1013,9 @@
 	if len(plain.Counts) > 256 {
 		return fmt.Errorf("field %s length: must be <= %d", "counts", 256)
 	}
+	if len(plain.Suspects) > 8 {
+		return fmt.Errorf("field %s length: must be <= %d", "suspects", 8)
+	}
 	*j = Report(plain)
 	return nil
 }
@@ -1164,6 +1239,48 @@
 	return nil
 }
 
+// Suspect holds the recent bad calls at one backend server; older ones count less.
+type Suspect struct {
+	// Weighted number of failures.
+	Failures float64 `json:"failures"`
+
+	// Identifier of the backend server.
+	Server ident.ServerID `json:"server"`
+
+	// Weighted number of slow calls.
+	Slow float64 `json:"slow"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Suspect) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["failures"]; raw != nil && !ok {
+		return fmt.Errorf("field failures in Suspect: required")
+	}
+	if _, ok := raw["server"]; raw != nil && !ok {
+		return fmt.Errorf("field server in Suspect: required")
+	}
+	if _, ok := raw["slow"]; raw != nil && !ok {
+		return fmt.Errorf("field slow in Suspect: required")
+	}
+	type Plain Suspect
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Failures {
+		return fmt.Errorf("field %s: must be >= %v", "failures", 0)
+	}
+	if 0 > plain.Slow {
+		return fmt.Errorf("field %s: must be >= %v", "slow", 0)
+	}
+	*j = Suspect(plain)
+	return nil
+}
+
 // Table is the routing table of a service: the value of the platform object
 // tables/<service>.
 type Table struct {
@@ -1245,6 +1362,10 @@
 	// Connections that were accepted.
 	Connections int `json:"connections"`
 
+	// Executions beyond the first one of a request id whose method is not safe, over
+	// all servers.
+	Doubled int `json:"doubled"`
+
 	// Calls that were executed.
 	Executed int `json:"executed"`
 
@@ -1270,6 +1391,9 @@
 	if _, ok := raw["connections"]; raw != nil && !ok {
 		return fmt.Errorf("field connections in Tally: required")
 	}
+	if _, ok := raw["doubled"]; raw != nil && !ok {
+		return fmt.Errorf("field doubled in Tally: required")
+	}
 	if _, ok := raw["executed"]; raw != nil && !ok {
 		return fmt.Errorf("field executed in Tally: required")
 	}
@@ -1293,6 +1417,9 @@
 	if 0 > plain.Connections {
 		return fmt.Errorf("field %s: must be >= %v", "connections", 0)
 	}
+	if 0 > plain.Doubled {
+		return fmt.Errorf("field %s: must be >= %v", "doubled", 0)
+	}
 	if 0 > plain.Executed {
 		return fmt.Errorf("field %s: must be >= %v", "executed", 0)
 	}
@@ -1388,3 +1515,37 @@
 	*j = View(plain)
 	return nil
 }
+
+// Warmth is the parameter and the result of the method warm: the servers that the
+// sender asks about, and those of them that the receiver knows to be warm.
+type Warmth struct {
+	// Lives of backend servers.
+	Lives []Life `json:"lives"`
+
+	// Service of the servers.
+	Service ident.ServiceName `json:"service"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Warmth) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["lives"]; raw != nil && !ok {
+		return fmt.Errorf("field lives in Warmth: required")
+	}
+	if _, ok := raw["service"]; raw != nil && !ok {
+		return fmt.Errorf("field service in Warmth: required")
+	}
+	type Plain Warmth
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if len(plain.Lives) > 1024 {
+		return fmt.Errorf("field %s length: must be <= %d", "lives", 1024)
+	}
+	*j = Warmth(plain)
+	return nil
+}
