core/retry: send a further hedge when the first one gets no response either

After the connections that were open went silent at once, the call and its hedge could both meet a dead connection, and the call waited for its deadline. Hedges now go on up to the largest number of tries, still on the budget.

--- a/core/retry/call.go
+++ b/core/retry/call.go
@@ -13,8 +13,9 @@
 	Idempotent bool
 	// Tries is the largest number of tries.
 	Tries int
-	// HedgeDelay is the time after which an idempotent call without a response is sent to another
-	// server too; 0 sends no hedge.
+	// HedgeDelay is the time after a send after which an idempotent call without a response is sent to
+	// another server too; 0 sends no hedge. After a network event the connections to several servers may
+	// be dead, so that one hedge is not always enough.
 	HedgeDelay time.Duration
 }
 
@@ -33,7 +34,6 @@
 	// spent says that the request's body cannot be sent again.
 	spent     bool
 	exhausted bool
-	hedged    bool
 	final     bool
 	out       []Action
 }
@@ -123,7 +123,7 @@
 	}
 	c.tries = append(c.tries, try{})
 	c.do(Send{Try: Try(len(c.tries)), Hedge: hedge, Remaining: c.deadline.Sub(at)})
-	if c.policy.Idempotent && c.policy.HedgeDelay > 0 && !c.hedged {
+	if c.policy.Idempotent && c.policy.HedgeDelay > 0 {
 		c.do(SetTimer{At: at.Add(c.policy.HedgeDelay)})
 	}
 }
--- a/core/retry/event.go
+++ b/core/retry/event.go
@@ -176,14 +176,12 @@
 }
 
 func (e HedgeDue) apply(c *Call) {
-	last := Try(len(c.tries))
-	if c.hedged || c.pending() != 1 || c.tries[last-1].ended || !c.policy.Idempotent || !c.mayResend(e.At) {
+	if !c.policy.Idempotent || c.pending() == 0 || !c.mayResend(e.At) {
 		return
 	}
 	// A connection that may be dead is replaced without a draw on the budget: after a network event
 	// there are more of them than the budget covers, and the pool bounds their number.
-	if c.tries[last-1].unproved || c.budget.Withdraw() {
-		c.hedged = true
+	if c.tries[len(c.tries)-1].unproved || c.budget.Withdraw() {
 		c.launch(e.At, true)
 	}
 }
