proxy: stop a call's timers without goroutines; test silent servers and responses without a body

Each call ended by canceling a context whose two context.AfterFunc callbacks ran in new goroutines. The timers are now stopped directly.

The model test now has servers that never answer and checks that no slot is lost.

--- a/core/route/outcome.go
+++ b/core/route/outcome.go
@@ -37,7 +37,9 @@
 	Route   ident.RouteName
 	Result  Result
 	// Start is the time at which the try began.
-	Start   time.Time
+	Start time.Time
+	// Latency is the time to the head of the response, so that slow callers do not count, or to the end
+	// of a try without one.
 	Latency time.Duration
 	// Inflight and Slots are the load that the server reported in its response; Slots is 0 when it
 	// reported none.
--- a/goldcreststand/internal/proxy/head_test.go
+++ b/goldcreststand/internal/proxy/head_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -137,3 +139,42 @@
 		t.Fatal("server was not canceled")
 	}
 }
+
+// Guards against a response that may have no body and that is taken for a truncated one, or whose
+// connection is lost.
+func TestResponsesWithoutBody(t *testing.T) {
+	var conns atomic.Int32
+	b := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Etag", `"1"`)
+		switch r.URL.Path {
+		case "/204":
+			w.WriteHeader(http.StatusNoContent)
+		case "/304":
+			w.WriteHeader(http.StatusNotModified)
+		}
+	}))
+	b.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	b.Start()
+	defer b.Close()
+	s := instance(t, local(server("s0", address(b.Listener))))
+	tests := []struct {
+		method, path string
+		status       int
+	}{
+		{method: http.MethodHead, path: "/a", status: http.StatusOK},
+		{method: http.MethodPost, path: "/204", status: http.StatusNoContent},
+		{method: http.MethodGet, path: "/304", status: http.StatusNotModified},
+		{method: http.MethodDelete, path: "/a", status: http.StatusOK},
+	}
+	for _, tt := range tests {
+		got := request(s, tt.method, tt.path, nil)
+		require.NoError(t, got.err)
+		require.Equal(t, tt.status, got.status)
+		require.Equal(t, `"1"`, got.header.Get("Etag"))
+	}
+	require.EqualValues(t, 1, conns.Load())
+}
--- a/goldcreststand/internal/proxy/model_test.go
+++ b/goldcreststand/internal/proxy/model_test.go
@@ -3,18 +3,21 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
 // Guards against any order of server faults, over reused connections, that executes a call that is not
-// idempotent twice, makes "not executed" false, or gives a caller a response to another call.
+// idempotent twice, makes "not executed" false, gives a caller a response to another call, or loses a
+// slot.
 func TestAnyOrderOfFaults(t *testing.T) {
-	faults := []string{respOK, respOK, respOK, respShed, respClose, respShort, respChunk, respFailed, resp1xx, respTwice, respDrain}
+	faults := []string{respOK, respOK, respOK, respShed, respClose, respShort, respChunk, respFailed, resp1xx, respTwice, respDrain, respSilent}
 	var next atomic.Pointer[[]string]
 	script := func(string) string {
 		q := *next.Load()
@@ -26,7 +29,8 @@
 		return q[0]
 	}
 	backends := []*backend{newBackend(t, script), newBackend(t, script), newBackend(t, script)}
-	s := instance(t, localTo(backends...))
+	svc := localTo(backends...)
+	s := instance(t, svc)
 	call := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		for range rapid.IntRange(1, 6).Draw(rt, "calls") {
@@ -35,6 +39,9 @@
 			call++
 			path := fmt.Sprintf("/c/%d", call)
 			headers := []string{"Idempotency-Key", path}
+			if slices.Contains(queue, respSilent) {
+				headers = append(headers, "Request-Timeout", "30")
+			}
 			idempotent := rapid.Bool().Draw(rt, "idempotent")
 			if idempotent {
 				headers = append(headers, "Idempotent", "?1")
@@ -59,4 +66,7 @@
 			}
 		}
 	})
+	for _, x := range svc.Servers {
+		require.Eventually(t, func() bool { return x.Load.Inflight() == 0 }, callerTimeout, time.Millisecond, "slot lost")
+	}
 }
--- a/goldcreststand/internal/proxy/run.go
+++ b/goldcreststand/internal/proxy/run.go
@@ -48,6 +48,9 @@
 	// ctx ends at the deadline or when the caller closes its connection.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// timer and unwatch stop what ends ctx.
+	timer   clockwork.Timer
+	unwatch func() bool
 
 	resp   *http.Response
 	err    error
@@ -76,12 +79,8 @@
 func (x *run) carry(out *http.Request) (*http.Response, error) {
 	x.out = out
 	x.ctx, x.cancel = context.WithCancelCause(context.Background())
-	timer := x.h.clock.AfterFunc(x.deadline.Sub(x.now()), func() { x.cancel(errDeadline) })
-	stop := context.AfterFunc(out.Context(), func() { x.cancel(errGone) })
-	context.AfterFunc(x.ctx, func() {
-		timer.Stop()
-		stop()
-	})
+	x.timer = x.h.clock.AfterFunc(x.deadline.Sub(x.now()), func() { x.cancel(errDeadline) })
+	x.unwatch = context.AfterFunc(out.Context(), func() { x.cancel(errGone) })
 	if err := x.admit(); err != nil {
 		x.result = "rejected"
 		return nil, err
@@ -220,7 +219,7 @@
 		// A server's copy of another instance's status would be taken for ours.
 		x.resp.Header.Del(headerProxyStatus)
 	}
-	context.AfterFunc(x.ctx, func() { t.cancel(context.Cause(x.ctx)) })
+	t.unlink = context.AfterFunc(x.ctx, func() { t.cancel(context.Cause(x.ctx)) })
 }
 
 // ended reports the outcome of a try.
@@ -238,6 +237,8 @@
 // close ends the call in every case, also when the copying of the response panicked.
 func (x *run) close() {
 	if x.cancel != nil {
+		x.timer.Stop()
+		x.unwatch()
 		x.cancel(nil)
 	}
 	x.body.close()
--- a/goldcreststand/internal/proxy/try.go
+++ b/goldcreststand/internal/proxy/try.go
@@ -29,7 +29,9 @@
 	conn   *conn
 	proved bool
 	// resp is set before Responded or Failed is posted.
-	resp    *http.Response
+	resp *http.Response
+	// unlink ends the link to the call's context, which there is once the response is that of the call.
+	unlink  func() bool
 	outcome route.Outcome
 	once    sync.Once
 }
@@ -172,6 +174,9 @@
 		} else if t.conn != nil {
 			t.set.discard(t.conn, !t.proved)
 		}
+		if t.unlink != nil {
+			t.unlink()
+		}
 		t.cancel(nil)
 		if t.outcome.Latency == 0 {
 			t.outcome.Latency = t.x.now().Sub(t.start)
