--- a/core/limit/serving.go
+++ b/core/limit/serving.go
@@ -1,32 +1,25 @@
 package limit
 
 import (
+	"slices"
+
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/place"
 	"goldcreststand.example/core/table"
 )
 
-// Serving returns the instances that serve the service, in placement order. Instances in a failure
-// domain that is out of service do not serve, and the count falls by one for each such domain: others in
-// their place would take slots from the instances that go on serving, which have to hold out until
-// TakeDelay has passed.
+// Serving returns the instances that serve the service, in placement order: the first count of them
+// without those in a failure domain that is out of service. No others take their place, because they
+// would hold neither the table nor slots until TakeDelay has passed. When all of them are in such domains
+// they go on serving.
 func Serving(t *table.Table, s ident.ServiceName, nodes []place.Node, count int) []place.Node {
-	out := make(map[ident.DomainName]bool)
-	for _, r := range t.Rows {
-		if r.Kind == table.KindDomain && r.State == table.StateOut {
-			out[ident.DomainName(r.Name)] = true
-		}
-	}
-	in := make([]place.Node, 0, len(nodes))
-	domains := make(map[ident.DomainName]bool)
-	for _, n := range nodes {
-		if !out[n.Domain] {
-			in = append(in, n)
-			domains[n.Domain] = true
-		}
-	}
+	all := place.Serving(s, nodes, count)
+	in := slices.DeleteFunc(slices.Clone(all), func(n place.Node) bool {
+		r, ok := t.Find(table.KindDomain, string(n.Domain))
+		return ok && r.State == table.StateOut
+	})
 	if len(in) == 0 {
-		return place.Serving(s, nodes, count)
+		return all
 	}
-	return place.Serving(s, in, max(count-len(out), min(count, len(domains)), 1))
+	return in
 }
--- a/core/route/snapshot.go
+++ b/core/route/snapshot.go
@@ -50,7 +50,9 @@
 	Weight ident.Weight
 	// Share is the largest number of calls in flight that this instance may have at the server.
 	Share ident.Slots
-	Load  *Load
+	// Connections is the largest number of connections that this instance may have to the server.
+	Connections int
+	Load        *Load
 }
 
 // Rows returns the weight of a server under the table relative to the other servers of its version: the
--- a/core/route/version_test.go
+++ b/core/route/version_test.go
@@ -102,3 +102,24 @@
 		})
 	}
 }
+
+// Guards against retries that reach a version that was rolled back, or raise the share of one in rollout.
+func TestWithoutKeepsVersionShares(t *testing.T) {
+	gone := service(servers(2, 4), servers(2, 4), 100, 0)
+	require.Len(t, gone.Servers, 2)
+	s := service(servers(3, 4), servers(3, 4), 99, 1)
+	first := s.Versions[0].Servers[0]
+	rest := s.Without(func(x *route.Server) bool { return x == first })
+	require.Len(t, rest.Servers, 5)
+	rng, n := newRng(), 0
+	for range 10000 {
+		srv := rest.Pick(route.Proportional{}, rest.Draw(rng), time.Minute, rng)
+		require.NotEqual(t, first, srv)
+		if srv.Version == "v2" {
+			n++
+		}
+		srv.Load.Release()
+	}
+	require.InDelta(t, 100, n, 50)
+	require.Len(t, s.Versions[0].Servers, 3, "the service itself is unchanged")
+}
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -89,7 +89,8 @@
 
 func (st *state) serviceSnapshot(n ident.ServiceName, s *service) *route.Service {
 	out := &route.Service{Name: n}
-	if s.table == nil {
+	if s.table == nil || s.listing == nil {
+		// Without them this instance passes calls on to others that serve the service.
 		out.Entries = st.entries(place.Serving(n, st.nodes, st.self.Count))
 		return out
 	}
@@ -99,7 +100,7 @@
 	ready := s.shares.ready(st.boot)
 	out.Entries = st.entries(ready)
 	out.Local = slices.ContainsFunc(ready, func(n place.Node) bool { return n.ID == st.self.ID })
-	if !out.Local || s.listing == nil {
+	if !out.Local {
 		return out
 	}
 	for _, b := range s.listing.Servers {
@@ -125,5 +126,7 @@
 	return &route.Server{
 		ID: b.ID, Address: b.Address, Domain: b.Domain, Version: b.Version, Weight: w,
 		Share: s.shares.ledger.Share(b.ID), Load: l,
+		// One part more than there are instances leaves room for those that served until lately.
+		Connections: max(2, b.Connections/(len(s.shares.serving)+1)),
 	}
 }
--- a/goldcreststand/internal/proxy/admission_test.go
+++ b/goldcreststand/internal/proxy/admission_test.go
@@ -81,7 +81,7 @@
 	}
 	go acquire()
 	awaitWaiting(a, 1)
-	require.Nil(t, a.Try(w.service(), w.service().Servers), "a further try must not overtake waiting calls")
+	require.Nil(t, a.Try(w.service(), func(*route.Server) bool { return false }), "a further try must not overtake waiting calls")
 	first.Release(route.Outcome{})
 	second := <-got
 	go acquire()
--- a/goldcreststand/internal/proxy/call.go
+++ b/goldcreststand/internal/proxy/call.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -22,6 +23,13 @@
 	headerProxyStatus = "Proxy-Status"
 )
 
+// Headers between instances, and of the backend server's contract.
+const (
+	headerHop      = "Forwarded-Hop"
+	headerExecuted = "Executed"
+	headerLoad     = "Load"
+)
+
 // ErrCall is the class of invalid calls.
 var ErrCall = errs.Class("invalid call")
 
@@ -29,6 +37,7 @@
 type call struct {
 	service    ident.ServiceName
 	tenant     ident.TenantName
+	route      ident.RouteName
 	class      limit.Class
 	timeout    time.Duration
 	idempotent bool
@@ -36,8 +45,12 @@
 
 // parseCall reads the headers of a caller's request.
 func parseCall(r *http.Request, timeout, maximum time.Duration) (call, error) {
-	c := call{timeout: timeout, idempotent: safeMethod(r.Method) || r.Header.Get(headerIdempotent) == "?1"}
-	c.class = parsePriority(r.Header.Values(headerPriority))
+	c := call{
+		timeout:    timeout,
+		idempotent: safeMethod(r.Method) || r.Header.Get(headerIdempotent) == "?1",
+		class:      parsePriority(r.Header.Values(headerPriority)),
+		route:      parseRoute(r.URL.Path),
+	}
 	host, _, err := net.SplitHostPort(r.Host)
 	if err != nil {
 		host = r.Host
@@ -60,6 +73,16 @@
 	return c, nil
 }
 
+// parseRoute returns the first segment of the path, or no route when it is not a valid name.
+func parseRoute(path string) ident.RouteName {
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	var n ident.RouteName
+	if err := n.UnmarshalText([]byte(first)); err != nil {
+		return ""
+	}
+	return n
+}
+
 // safeMethod reports whether the method is safe by RFC 9110, section 9.2.1.
 func safeMethod(m string) bool {
 	switch m {
