goldcreststand/ctrl: keep calls from versions that no rollout names

Cause: in a trial with real processes, servers of a version that started before its rollout got calls at the weight of a version without a row: 329 calls before the rollout began.

Change: once there has been a rollout, only its two versions take calls while one of them may serve; before that, a table that names versions keeps calls from all others. Probes are planned every 500 ms, medians without a copy per server.

--- a/core/health/observe.go
+++ b/core/health/observe.go
@@ -166,14 +166,21 @@
 	out := make(map[ident.ServerID]float64, len(t.ids))
 	for _, id := range t.ids {
 		s := t.servers[id]
-		rest := vs
-		if s.state == StateActive && s.mean > 0 {
-			i, _ := slices.BinarySearch(vs, s.mean)
-			rest = slices.Delete(slices.Clone(vs), i, i+1)
+		if s.state != StateActive || s.mean == 0 {
+			if len(vs) > 0 {
+				out[id] = vs[(len(vs)-1)/2]
+			}
+			continue
+		}
+		if len(vs) < 2 {
+			continue
 		}
-		if len(rest) > 0 {
-			out[id] = rest[(len(rest)-1)/2]
+		// The median of the others skips the server's own value.
+		mid := (len(vs) - 2) / 2
+		if own, _ := slices.BinarySearch(vs, s.mean); own <= mid {
+			mid++
 		}
+		out[id] = vs[mid]
 	}
 	return out
 }
--- a/goldcreststand/internal/ctrl/care.go
+++ b/goldcreststand/internal/ctrl/care.go
@@ -31,6 +31,7 @@
 	tracker *health.Tracker
 	rollout *canary.Rollout
 	planner *probe.Planner
+	planned time.Time
 	// plan is the division of slots that the tracker's holders follow from; table, listing and serving
 	// are what it was made from.
 	table   *table.Table
@@ -86,21 +87,39 @@
 	return srv.Share > 0
 }
 
-// weight returns the weight of a version: that of its row, and during a rollout the share of its stage.
-func (c *care) weight(v ident.VersionName, row ident.Weight) ident.Weight {
-	m, share := c.rollout.Move(), ident.FullShare
-	if to, ok := c.rollout.Share(); ok && row > 0 {
-		switch v {
-		case m.To:
+// weight returns the weight of a version from its row and the rollout. Once there has been a rollout, only
+// its two versions take calls while servers of them may serve, because the servers of a version start before
+// its rollout does. Before the first one, a table that names versions keeps calls from all others.
+func (s *service) weight(v ident.VersionName) ident.Weight {
+	row := route.VersionWeight(s.table, v)
+	share := ident.FullShare
+	if to, ok := s.care.rollout.Share(); ok {
+		m := s.care.rollout.Move()
+		switch {
+		case v == m.To:
 			share = to
-		case m.From:
-			share = ident.FullShare - to
+		case v == m.From:
+			share -= to
+		case s.serves(m.From) || to > 0 && s.serves(m.To):
+			share = 0
 		}
+	} else if _, named := s.table.Find(table.KindVersion, string(v)); !named && s.namesVersion() {
+		share = 0
 	}
 	// Shares are in per mille; rows without a rollout keep their proportions.
 	return ident.Weight(uint64(row) * uint64(share) / uint64(route.DefaultWeight))
 }
 
+// serves reports whether the version has a listed server that is not leaving.
+func (s *service) serves(v ident.VersionName) bool {
+	return slices.ContainsFunc(s.listing.Servers, func(b roster.Server) bool { return b.Version == v && !b.Leaving })
+}
+
+// namesVersion reports whether the table has a row of a version.
+func (s *service) namesVersion() bool {
+	return slices.ContainsFunc(s.table.Rows, func(r table.Row) bool { return r.Kind == table.KindVersion })
+}
+
 // capacity sums up what the servers of both versions of the rollout can take at this instance.
 func (s *service) capacity(now time.Time) canary.Capacity {
 	var out canary.Capacity
--- a/goldcreststand/internal/ctrl/care_test.go
+++ b/goldcreststand/internal/ctrl/care_test.go
@@ -93,6 +93,34 @@
 	require.Equal(t, map[ident.VersionName]ident.Weight{"v1": 1000}, weights(st))
 }
 
+// Guards against calls to the servers of a version that started before its rollout, and against a service
+// without calls when neither version of the last rollout has servers.
+func TestOnlyVersionsOfRolloutTakeCalls(t *testing.T) {
+	rows := []table.Row{{Kind: table.KindVersion, Name: "v1", Weight: 100}}
+	move := &table.Move{Attempt: 1, From: "v0", To: "v1", Deadline: time.Unix(2e6, 0)}
+	third := &table.Move{Attempt: 1, From: "v8", To: "v9", Deadline: time.Unix(2e6, 0)}
+	for _, tc := range []struct {
+		name  string
+		table table.Table
+		want  map[ident.VersionName]ident.Weight
+	}{
+		{"no rows", table.Table{}, map[ident.VersionName]ident.Weight{"v1": 1000, "v2": 1000}},
+		{"row", table.Table{Rows: rows}, map[ident.VersionName]ident.Weight{"v1": 1000}},
+		{"rollout", table.Table{Move: move}, map[ident.VersionName]ident.Weight{"v1": 1000}},
+		{"rollout of versions without servers", table.Table{Move: third}, map[ident.VersionName]ident.Weight{"v1": 1000, "v2": 1000}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			st := rollout()
+			s := st.services["svc"]
+			s.care.rollout = canary.New("svc", "i0", st.now)
+			tc.table.Service, tc.table.Revision = "svc", 3
+			TableSeen{Table: &tc.table}.apply(st)
+			pass(st, 200*time.Millisecond)
+			require.Equal(t, tc.want, weights(st))
+		})
+	}
+}
+
 // Guards against a paused instance that acts on its old rollout status, and against one that does not
 // learn the newer status from a peer.
 func TestResumedInstanceWithholdsNewVersion(t *testing.T) {
--- a/goldcreststand/internal/ctrl/healthevents.go
+++ b/goldcreststand/internal/ctrl/healthevents.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"time"
 
 	"goldcreststand.example/core/health"
 	"goldcreststand.example/core/ident"
@@ -11,6 +12,10 @@
 	"goldcreststand.example/core/route"
 )
 
+// planInterval is the time between two plans of probes. It is shorter than the time between two probes of a
+// server, and planning at every tick would cost a third of the time that health takes.
+const planInterval = 500 * time.Millisecond
+
 // AskWarm asks an instance which of the servers are warm. The response is a WarmSeen.
 type AskWarm struct {
 	To      netip.AddrPort
@@ -112,9 +117,15 @@
 			out = append(out, AskWarm{To: to, Service: n, Lives: q.Lives})
 		}
 	}
-	if s.listing == nil {
-		return out
+	if s.listing != nil && st.now.Sub(c.planned) >= planInterval {
+		c.planned = st.now
+		out = st.planProbes(n, s, out)
 	}
+	return out
+}
+
+func (st *state) planProbes(n ident.ServiceName, s *service, out []Action) []Action {
+	c := s.care
 	var candidates []probe.Candidate
 	addresses := make(map[ident.ServerID]netip.AddrPort)
 	for _, b := range s.listing.Servers {
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -108,7 +108,7 @@
 			out.Servers = append(out.Servers, srv)
 		}
 	}
-	out.Group(func(v ident.VersionName) ident.Weight { return s.care.weight(v, route.VersionWeight(s.table, v)) })
+	out.Group(s.weight)
 	return out
 }
 
