core/health: bound ejections over the instance's own servers

Cause: since instances have slots at different servers, a bound of half of all servers let four instances together eject all of them.

Change: the bound and the judgement of failure domains count the servers at which the instance has slots.

Measured: a test of four instances with three servers each, all failing, failed before (more than 6 of 12 ejected at a time) and passes now.

--- a/core/health/eject.go
+++ b/core/health/eject.go
@@ -6,7 +6,7 @@
 	"goldcreststand.example/core/ident"
 )
 
-// eject keeps new work from the server for a time, unless half of the servers are ejected already: then
+// eject keeps new work from the server for a time, unless half of the instance's servers are ejected already: then
 // it keeps one call in flight.
 func (t *Tracker) eject(s *server, now time.Time) {
 	cold := s.state == StateWarming
@@ -31,7 +31,7 @@
 	s.until = now.Add(t.jitter(d))
 }
 
-// boundEjections re-admits the servers that were to come back soonest, when servers that left the list
+// boundEjections re-admits the servers that were to come back soonest, when servers that left
 // have made the ejected ones more than half.
 func (t *Tracker) boundEjections(now time.Time) {
 	for {
@@ -41,7 +41,7 @@
 		}
 		var next *server
 		for _, id := range t.ids {
-			if s := t.servers[id]; s.state == StateEjected && (next == nil || s.until.Before(next.until)) {
+			if s := t.servers[id]; s.ranked && s.state == StateEjected && (next == nil || s.until.Before(next.until)) {
 				next = s
 			}
 		}
@@ -60,7 +60,7 @@
 	var inside, failing, outside, ejected int
 	for _, id := range t.ids {
 		s := t.servers[id]
-		if s.state == StateDraining {
+		if s.state == StateDraining || !s.ranked {
 			continue
 		}
 		if s.spec.Domain != d {
--- a/core/health/tracker.go
+++ b/core/health/tracker.go
@@ -100,6 +100,7 @@
 		}
 		t.servers[id].setRank(i, first, i >= 0, now)
 	}
+	t.boundEjections(now)
 }
 
 // Resume tells the tracker that the instance was paused for so long that others may have taken its
--- a/core/health/tracker_test.go
+++ b/core/health/tracker_test.go
@@ -198,6 +198,27 @@
 	}
 }
 
+// Guards against instances with slots at different servers that together eject more than half of them.
+func TestEjectionBoundOverInstances(t *testing.T) {
+	w := newWorld(5, 4, 12)
+	w.split = true
+	for range 400 {
+		w.advance()
+	}
+	for _, id := range w.ids {
+		w.broken[id] = true
+	}
+	for range 100 {
+		w.advance()
+		n := 0
+		for _, in := range w.instances {
+			ejected, _ := in.tracker.Ejected()
+			n += ejected
+		}
+		require.LessOrEqual(t, n, 6)
+	}
+}
+
 // Guards against a failure domain whose servers wait for their own long ejections to end after the
 // domain has come back.
 func TestFailureDomainFailsAndReturns(t *testing.T) {
--- a/core/health/verdict.go
+++ b/core/health/verdict.go
@@ -62,10 +62,16 @@
 // DomainDown reports whether the servers of the failure domain fail as a whole.
 func (t *Tracker) DomainDown(d ident.DomainName) bool { return t.down[d] }
 
-// Ejected returns the number of ejected servers and the number of servers that could take work.
+// Ejected returns the number of ejected servers and the number of servers that could take work, out of
+// those at which this instance has slots. When instances have slots at different servers, a bound over all
+// servers would let each of them eject all of its own.
 func (t *Tracker) Ejected() (ejected, total int) {
 	for _, id := range t.ids {
-		switch t.servers[id].state {
+		s := t.servers[id]
+		if !s.ranked {
+			continue
+		}
+		switch s.state {
 		case StateEjected:
 			ejected++
 			total++
--- a/core/health/world_test.go
+++ b/core/health/world_test.go
@@ -80,6 +80,8 @@
 	// broken makes every call to these servers fail at once.
 	broken map[ident.ServerID]bool
 	load   int
+	// split gives the slots of each server to one instance.
+	split bool
 }
 
 func newWorld(seed uint64, instances, servers int) *world {
@@ -150,7 +152,10 @@
 	return out
 }
 
-func holders(id ident.ServerID, nodes []place.Node) []ident.InstanceID {
+func (w *world) holders(id ident.ServerID, nodes []place.Node) []ident.InstanceID {
+	if w.split {
+		return []ident.InstanceID{w.instances[int(id[1])%len(w.instances)].id}
+	}
 	var out []ident.InstanceID
 	for _, n := range place.Order(string(id), nodes) {
 		out = append(out, n.ID)
@@ -182,7 +187,7 @@
 			in.tracker.Resume(w.now)
 		}
 		nodes := w.members(in)
-		in.tracker.SetHolders(func(id ident.ServerID) []ident.InstanceID { return holders(id, nodes) }, w.now)
+		in.tracker.SetHolders(func(id ident.ServerID) []ident.InstanceID { return w.holders(id, nodes) }, w.now)
 		in.tracker.Tick(w.now)
 		in.seen = w.now
 		w.ask(in)
