--- a/core/canary/rollout_test.go
+++ b/core/canary/rollout_test.go
@@ -62,3 +62,62 @@
 		}
 	})
 }
+
+// Guards against a good version that turns bad after it has got all calls and is not rolled back.
+func TestWatchAfterDone(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		fail, slow float64
+	}{{"failures", 0.3, 1}, {"slow calls", 0, 5}} {
+		t.Run(tc.name, func(t *testing.T) {
+			turns := time.Duration(0)
+			k := kind{name: tc.name, bad: func(in time.Duration, _ float64, _, _ int) (float64, float64) {
+				if turns > 0 && in >= turns {
+					return tc.fail, tc.slow
+				}
+				return 0, 1
+			}}
+			s := newSim(k, 200, 2*time.Minute, 1)
+			s.run(10 * time.Second)
+			require.Equal(t, table.OutcomeDone, s.final.Outcome)
+			require.Less(t, s.ended, 2*time.Minute)
+			turns = s.in()
+			for s.in() < turns+10*time.Second {
+				s.step()
+			}
+			require.Equal(t, table.OutcomeReverted, s.final.Outcome)
+			require.Less(t, s.quiet, turns+5*time.Second)
+			t.Log(s.ended-turns, s.final.Reason)
+		})
+	}
+}
+
+// Guards against rollouts that do not end as the rules for missing servers and little traffic say, and
+// against a share that the new version's servers cannot take.
+func TestEndsByRule(t *testing.T) {
+	good := kind{name: "good", bad: func(time.Duration, float64, int, int) (float64, float64) { return 0, 1 }}
+	for _, tc := range []struct {
+		name    string
+		rate    float64
+		slots   ident.Slots
+		outcome table.Outcome
+		most    float64
+	}{
+		{"usual", 200, 60, table.OutcomeDone, 1},
+		{"no servers of the new version", 200, 0, table.OutcomeReverted, 0},
+		{"few servers of the new version", 200, 3, table.OutcomeReverted, 0.13},
+		{"one call in two seconds", 0.5, 60, table.OutcomeDone, 1},
+		{"three calls a minute", 0.05, 60, table.OutcomeReverted, 1},
+		{"no calls", 0, 60, table.OutcomeReverted, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSim(good, tc.rate, 5*time.Minute, 2)
+			s.capacity.New, s.capacity.Inflight = tc.slots, 20
+			s.run(0)
+			require.Equal(t, tc.outcome.String(), s.final.Outcome.String())
+			require.LessOrEqual(t, s.ended, s.deadline+2*time.Second)
+			require.LessOrEqual(t, float64(s.newCalls), tc.most*float64(s.calls))
+			t.Logf("%v %d of %d calls, %s", s.ended, s.newCalls, s.calls, s.final.Reason)
+		})
+	}
+}
--- a/core/canary/sim_test.go
+++ b/core/canary/sim_test.go
@@ -46,6 +46,7 @@
 	nodes    []*canary.Rollout
 	paused   [simNodes]time.Duration
 	loss     float64
+	capacity canary.Capacity
 	pending  []func()
 	calls    int
 	newCalls int
@@ -70,6 +71,7 @@
 	if s.kind.servers == 0 {
 		s.kind.servers = 4
 	}
+	s.capacity = canary.Capacity{Old: 60, New: 60, Inflight: 5, NewServers: s.kind.servers, OldListed: true}
 	m := &table.Move{Attempt: 1, From: "v1", To: "v2", Deadline: simStart.Add(deadline)}
 	for i := range simNodes {
 		r := canary.New("s", ident.InstanceID(fmt.Sprintf("i%d", i)), s.now.Add(-time.Minute))
@@ -102,7 +104,7 @@
 			continue
 		}
 		s.traffic(i, r)
-		r.SetCapacity(canary.Capacity{Old: 60, New: 60, Inflight: 5, NewServers: s.kind.servers, OldListed: true})
+		r.SetCapacity(s.capacity)
 		s.tell(i, r.Tick(s.now))
 		if st, _ := r.Status(); canary.Compare(st, s.final) > 0 {
 			s.final = st
