--- /dev/null
+++ b/goldcreststand/internal/ctrl/fleet_test.go
@@ -0,0 +1,125 @@
+package ctrl
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcreststand.example/core/health"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/roster"
+	"goldcreststand.example/core/route"
+	"goldcreststand.example/core/table"
+)
+
+// fleet runs the control states of four instances in virtual time and carries their reports and questions.
+type fleet struct {
+	states []*state
+	rng    *rand.Rand
+	// bad names the version whose calls fail.
+	bad ident.VersionName
+	// calls counts the calls to each version in the last round.
+	calls map[ident.VersionName]int
+}
+
+func newFleet(l *roster.Listing, t *table.Table) *fleet {
+	f := &fleet{states: fleetOf(4, l, t), rng: rand.New(rand.NewPCG(1, 1))}
+	for _, st := range f.states {
+		st.now = time.Unix(1e6, 0)
+		for i, n := range st.nodes {
+			st.peers[n.ID] = netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i))
+		}
+	}
+	return f
+}
+
+// round lets a tick pass: each instance sends as many calls as its snapshot allows, at most eight, and
+// control hears of their outcomes.
+func (f *fleet) round() {
+	f.calls = make(map[ident.VersionName]int)
+	for i, st := range f.states {
+		st.now, st.boot = st.now.Add(tickInterval), st.boot+tickInterval
+		var batch []route.Outcome
+		svc := st.snapshot().Services["svc"]
+		for k := range 8 {
+			v := svc.Draw(f.rng)
+			if v == nil || len(v.Servers) == 0 {
+				continue
+			}
+			o := route.Outcome{
+				Service: "svc", Server: v.Servers[k%len(v.Servers)].ID, Version: v.Name, Route: "r", Start: st.now, Latency: time.Millisecond,
+			}
+			if v.Name == f.bad {
+				o.Result = route.ResultFailed
+			}
+			f.calls[v.Name]++
+			batch = append(batch, o)
+		}
+		OutcomesSeen{Outcomes: batch}.apply(st)
+		f.carry(i, tick{}.apply(st))
+	}
+}
+
+func (f *fleet) carry(from int, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case SendReport:
+			for _, to := range a.To {
+				ReportSeen{Report: a.Report}.apply(f.states[to.Port()])
+			}
+		case AskWarm:
+			reply := make(chan []health.Life, 1)
+			WarmAsked{Service: a.Service, Lives: a.Lives, Reply: reply}.apply(f.states[a.To.Port()])
+			WarmSeen{Service: a.Service, Lives: <-reply}.apply(f.states[from])
+		}
+	}
+}
+
+// Guards against parts of control that work alone but not together: warm-up by the owner of the slots, the
+// stages of a rollout by the evidence of all instances, and a rollback that reaches all of them in 2 s.
+func TestFleetRollsOutAndBack(t *testing.T) {
+	for _, bad := range []ident.VersionName{"", "v2"} {
+		l := listing(16, 4)
+		for i := range l.Servers {
+			l.Servers[i].Version = []ident.VersionName{"v1", "v2"}[i/8]
+		}
+		rows := []table.Row{{Kind: table.KindVersion, Name: "v1", Weight: 100}}
+		f := newFleet(l, &table.Table{Service: "svc", Revision: 1, Rows: rows})
+		for range 100 {
+			f.round()
+		}
+		require.Zero(t, f.calls["v2"], "no calls before the rollout")
+		f.bad = bad
+		for _, st := range f.states {
+			TableSeen{Table: &table.Table{Service: "svc", Revision: 2, Rows: rows, Move: &table.Move{
+				Attempt: 1, From: "v1", To: "v2", Deadline: st.now.Add(2 * time.Minute),
+			}}}.apply(st)
+		}
+		outcome := func(st *state) table.Outcome {
+			s, _ := st.services["svc"].care.rollout.Status()
+			return s.Outcome
+		}
+		over := func(st *state) bool { return outcome(st) != table.OutcomeRunning }
+		for range 1200 {
+			if f.round(); slices.ContainsFunc(f.states, over) {
+				break
+			}
+		}
+		for range 20 {
+			f.round()
+		}
+		want, none := table.OutcomeDone, ident.VersionName("v1")
+		if bad != "" {
+			want, none = table.OutcomeReverted, bad
+		}
+		for _, st := range f.states {
+			require.Equal(t, want.String(), outcome(st).String(), st.self.ID)
+			require.Equal(t, want, st.services["svc"].status.Outcome)
+		}
+		require.Zero(t, f.calls[none])
+	}
+}
--- a/goldcreststand/internal/ctrl/shares_test.go
+++ b/goldcreststand/internal/ctrl/shares_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"goldcreststand.example/core/dist"
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/limit"
 	"goldcreststand.example/core/place"
@@ -26,7 +27,7 @@
 	}
 	out := make([]*state, n)
 	for i, node := range nodes {
-		out[i] = newState(Self{ID: node.ID, Domain: node.Domain, Count: 4})
+		out[i] = newState(Self{ID: node.ID, Domain: node.Domain, Count: 4, Dist: dist.DefaultConfig(4)})
 		out[i].nodes, out[i].addresses = nodes, addresses
 		TableSeen{Table: t}.apply(out[i])
 		ListingSeen{Listing: list}.apply(out[i])
