--- a/core/canary/sim_test.go
+++ b/core/canary/sim_test.go
@@ -17,6 +17,11 @@
 	simNodes = 4
 )
 
+var (
+	simRoutes  = []ident.RouteName{"r0", "r1", "r2", "r3"}
+	simServers = []ident.ServerID{"new0", "new1", "new2", "new3"}
+)
+
 var simStart = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
 // kind is a version's behaviour. bad returns the failure probability and the latency factor of a call
@@ -41,6 +46,7 @@
 	nodes    []*canary.Rollout
 	paused   [simNodes]time.Duration
 	loss     float64
+	capacity canary.Capacity
 	pending  []func()
 	calls    int
 	newCalls int
@@ -65,6 +71,7 @@
 	if s.kind.servers == 0 {
 		s.kind.servers = 4
 	}
+	s.capacity = canary.Capacity{Old: 60, New: 60, Inflight: 5, NewServers: s.kind.servers, OldListed: true}
 	m := &table.Move{Attempt: 1, From: "v1", To: "v2", Deadline: simStart.Add(deadline)}
 	for i := range simNodes {
 		r := canary.New("s", ident.InstanceID(fmt.Sprintf("i%d", i)), s.now.Add(-time.Minute))
@@ -97,7 +104,7 @@
 			continue
 		}
 		s.traffic(i, r)
-		r.SetCapacity(canary.Capacity{Old: 60, New: 60, Inflight: 5, NewServers: s.kind.servers, OldListed: true})
+		r.SetCapacity(s.capacity)
 		s.tell(i, r.Tick(s.now))
 		if st, _ := r.Status(); canary.Compare(st, s.final) > 0 {
 			s.final = st
@@ -129,7 +136,7 @@
 	for range n {
 		o := route.Outcome{Service: "s", Version: "v1", Start: s.now, Server: "old"}
 		rt := s.route()
-		o.Route = ident.RouteName(fmt.Sprintf("r%d", rt))
+		o.Route = simRoutes[rt]
 		srv, fail, slow := -1, 0.001, 1.0
 		if s.bursting() {
 			slow = 2
@@ -141,7 +148,7 @@
 			if s.fails[i][srv] >= 5 {
 				srv = (srv + 1) % s.kind.servers
 			}
-			o.Server = ident.ServerID(fmt.Sprintf("new%d", srv))
+			o.Server = simServers[srv]
 			f, x := s.kind.bad(s.in(), float64(share)/1000, rt, srv)
 			fail, slow = max(f, fail), slow*x
 			s.newCalls++
