core/dist: measure a fleet, fetch faster after losses, halve the short watches

Cause: at start-up each instance passed on every revision that a comparison had brought, 1.3 KB/s per node with 240 instances; an instance that had asked peers in vain waited up to 2 s although the next peer had the object; the short wait of 1 s cost one call a second for each watching instance. Change: revisions from a comparison are passed on twice; the delay between fetches grows only after 12 tries; the short wait is 2 s, which still leaves time within 8 s. BenchmarkFleet and BenchmarkTick measure calls, watches, bytes and time.

--- a/core/dist/config.go
+++ b/core/dist/config.go
@@ -52,7 +52,7 @@
 		Watchers:     2,
 		Depth:        16,
 		Wait:         30 * time.Second,
-		ShortWait:    time.Second,
+		ShortWait:    2 * time.Second,
 		Grace:        time.Second,
 		Base:         250 * time.Millisecond,
 		Cap:          2 * time.Second,
@@ -77,6 +77,10 @@
 	MaxWant = 16
 	// Buckets is the number of parts into which the digest is divided when two instances compare.
 	Buckets = 16
+	// comparedSends is the number of heartbeats that carry a revision that a comparison brought.
+	comparedSends = 2
+	// fastTries is the number of tries to fetch an object that follow each other without a growing delay.
+	fastTries = 12
 	// maxNotices is the number of tries to tell a peer of one change; gossip follows up.
 	maxNotices = 6
 )
--- /dev/null
+++ b/core/dist/fleet_test.go
@@ -0,0 +1,104 @@
+package dist_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"goldcreststand.example/core/dist"
+	"goldcreststand.example/core/place"
+	"goldcreststand.example/core/roster"
+)
+
+// Estimated sizes of messages in bytes: a call of the platform with its headers, a call of a peer without
+// its content, a revision with its key, a digest, a routing table of 20 rows, a list of 20 servers, and a
+// rollout status.
+const (
+	callBytes    = 400
+	fetchBytes   = 120
+	heldBytes    = 42
+	digestBytes  = 20
+	tableBytes   = 2200
+	listingBytes = 3400
+	statusBytes  = 120
+)
+
+func gossipBytes(held []dist.Held) int { return digestBytes + heldBytes*len(held) }
+
+func objectBytes(o dist.Object) int {
+	switch {
+	case o.Table != nil:
+		return tableBytes
+	case o.Listing != nil:
+		return listingBytes
+	}
+	return statusBytes
+}
+
+// BenchmarkFleet measures calls of the platform, pending watches, and bytes per node, sent and received,
+// with virtual time: while nothing changes, and for one edit of a routing table or server list.
+func BenchmarkFleet(b *testing.B) {
+	for _, services := range []int{10, 60, 110} {
+		for _, instances := range []int{16, 60, 240} {
+			b.Run(fmt.Sprintf("services=%d/instances=%d", services, instances), func(b *testing.B) {
+				for range b.N {
+					measure(b, services, instances)
+				}
+			})
+		}
+	}
+}
+
+func measure(b *testing.B, services, instances int) {
+	const span = 2 * time.Minute
+	s := newSim(1, instances, services)
+	s.advance(time.Minute)
+	calls, peer, platform := s.calls, s.peerBytes, s.platformBytes
+	s.advance(span)
+	n, secs := float64(instances), span.Seconds()
+	idlePeer, idlePlatform := float64(s.peerBytes-peer), float64(s.platformBytes-platform)
+	b.ReportMetric(float64(s.calls-calls)/secs, "calls/s")
+	pending := 0
+	for _, x := range s.nodes {
+		pending += x.core.Pending()
+	}
+	b.ReportMetric(float64(pending), "watches")
+	b.ReportMetric(2*idlePeer/n/secs, "peer-B/s/node")
+	b.ReportMetric(idlePlatform/n/secs, "platform-B/s/node")
+	calls, peer, platform = s.calls-calls, s.peerBytes, s.platformBytes
+	before := s.calls
+	const changes = 24
+	for i := range changes {
+		if svc := service(i % services); i%2 == 0 {
+			s.edit(svc)
+		} else {
+			s.write(dist.FromListing(&roster.Listing{Service: svc, Revision: s.revision(dist.ListingKey(svc)) + 1}))
+		}
+		s.advance(span / changes)
+	}
+	b.ReportMetric(float64(s.calls-before-calls)/changes, "calls/change")
+	b.ReportMetric((float64(s.peerBytes-peer)-idlePeer)/changes, "peer-B/change")
+	b.ReportMetric((float64(s.platformBytes-platform)-idlePlatform)/changes, "platform-B/change")
+}
+
+// BenchmarkTick measures the time for one tick of an instance at the design target.
+func BenchmarkTick(b *testing.B) {
+	c := dist.New("i0", dist.DefaultConfig(simServing), rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(0, 0)
+	nodes := make([]place.Node, 240)
+	for i := range nodes {
+		nodes[i] = place.Node{ID: newID(i), Domain: newDomain(i)}
+	}
+	c.Handle(now, dist.Members{Nodes: nodes})
+	held := make([]dist.Held, 110)
+	for i := range held {
+		held[i] = dist.Held{Key: dist.TableKey(service(i)), Revision: 1}
+	}
+	c.Handle(now, dist.Heard{From: "i1", Held: held})
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(simTick)
+		c.Handle(now, dist.Tick{})
+	}
+}
--- a/core/dist/peer.go
+++ b/core/dist/peer.go
@@ -172,7 +172,11 @@
 
 func (ev Fetched) apply(c *Core) {
 	for _, h := range ev.Reply.Held {
-		c.learn(h, ev.From)
+		if c.learn(h, ev.From) {
+			// Most others know it already; whoever does not compares too.
+			e := c.entries[h.Key]
+			e.sends = min(e.sends, comparedSends)
+		}
 	}
 	for _, o := range ev.Reply.Objects {
 		c.adopt(o, ev.From)
@@ -184,7 +188,7 @@
 	if f.compare {
 		c.compare.done, c.compare.fails = true, 0
 	}
-	c.endFetch(ev.Call, f, c.cfg.Cap)
+	c.endFetch(ev.Call, f)
 }
 
 func (ev FetchFailed) apply(c *Core) {
@@ -202,12 +206,12 @@
 		n.at = c.now.Add(c.jitter(c.cfg.Base))
 		c.notices = append(c.notices, *n)
 	}
-	c.endFetch(call, f, c.cfg.Base)
+	c.endFetch(call, f)
 }
 
-// endFetch forgets the call. What it did not bring is asked of another peer after a delay up to the
-// limit, which is short after a loss, because the next peer may well have the object.
-func (c *Core) endFetch(call Call, f *fetch, limit time.Duration) {
+// endFetch forgets the call. What it did not bring is asked of another peer, which may well have it; the
+// delay grows only after several tries.
+func (c *Core) endFetch(call Call, f *fetch) {
 	delete(c.calls, call)
 	if f.compare {
 		c.compare.pending = false
@@ -220,7 +224,7 @@
 		e.ask.call = 0
 		if c.lags(e) {
 			e.ask.tries++
-			e.ask.at = c.now.Add(c.backoff(e.ask.tries, limit))
+			e.ask.at = c.now.Add(c.backoff(max(1, e.ask.tries-fastTries), c.cfg.Cap))
 		}
 	}
 }
