goldcreststand: test the adapters of the distribution; bound a peer's response

Cause: a response could hold 16 routing tables of up to 1 MB each, more than the link carries, and the same request would have failed again and again. Change: a response with more than one object holds at most 4,000 rows and servers; the rest is asked for again. The watcher is tested over HTTP, the exchange over the peer link.

--- a/core/dist/config.go
+++ b/core/dist/config.go
@@ -75,6 +75,11 @@
 	MaxGossip = 16
 	// MaxWant is the largest number of objects that one call of a peer asks for.
 	MaxWant = 16
+	// maxRows bounds the rows and servers in one response that has more than one object. A row or server
+	// takes up to 350 bytes, a message up to 2 MiB.
+	maxRows = 4000
+	// maxHeld bounds the revisions in one response.
+	maxHeld = 4000
 	// Buckets is the number of parts into which the digest is divided when two instances compare.
 	Buckets = 16
 	// comparedSends is the number of heartbeats that carry a revision that a comparison brought.
--- a/core/dist/dist_test.go
+++ b/core/dist/dist_test.go
@@ -214,3 +214,19 @@
 	s.advance(2500 * time.Millisecond)
 	require.Empty(t, s.behind(dist.StatusKey(service(0)), st.Revision()))
 }
+
+// Guards against a response with several large tables that no link can carry, and against one that leaves
+// out a single large table.
+func TestReplyIsBounded(t *testing.T) {
+	s := newSim(1, 1, 3)
+	for i := range 3 {
+		s.write(dist.FromTable(&table.Table{Service: service(i), Revision: 2, Rows: make([]table.Row, 3900)}))
+	}
+	s.advance(simTarget)
+	var want []dist.Held
+	for i := range 3 {
+		want = append(want, dist.Held{Key: dist.TableKey(service(i)), Revision: 1})
+	}
+	reply, _ := s.nodes[0].core.Answer(s.now, "i9", dist.Request{Want: want})
+	require.Len(t, reply.Objects, 1)
+}
--- a/core/dist/object.go
+++ b/core/dist/object.go
@@ -15,6 +15,17 @@
 	Listing  *roster.Listing
 }
 
+// rows returns the number of rows or servers that the object holds.
+func (o *Object) rows() int {
+	switch {
+	case o.Table != nil:
+		return len(o.Table.Rows)
+	case o.Listing != nil:
+		return len(o.Listing.Servers)
+	}
+	return 1
+}
+
 // FromTable returns the object of a routing table.
 func FromTable(t *table.Table) Object {
 	return Object{Key: TableKey(t.Service), Revision: t.Revision, Table: t}
--- a/core/dist/peer.go
+++ b/core/dist/peer.go
@@ -151,11 +151,17 @@
 // reply returns what the request asks for and this instance has.
 func (c *Core) reply(r Request) Reply {
 	var out Reply
+	rows := 0
 	for _, h := range r.Want[:min(MaxWant, len(r.Want))] {
 		e, ok := c.entries[h.Key]
-		if ok && e.object != nil && (e.object.Revision > h.Revision || h.Revision == 0) {
-			out.Objects = append(out.Objects, *e.object)
+		if !ok || e.object == nil || (e.object.Revision <= h.Revision && h.Revision > 0) {
+			continue
+		}
+		// What is left out is asked for again.
+		if rows += e.object.rows(); rows > maxRows && len(out.Objects) > 0 {
+			break
 		}
+		out.Objects = append(out.Objects, *e.object)
 	}
 	if len(r.Buckets) != Buckets {
 		return out
@@ -163,6 +169,9 @@
 	for _, e := range c.list {
 		_, b := hash(e.key, e.known)
 		shared := e.known > 0 || e.key.Kind == KindTable
+		if len(out.Held) == maxHeld {
+			break
+		}
 		if shared && (e.key.Kind == KindReach || c.buckets[b] != r.Buckets[b]) {
 			out.Held = append(out.Held, Held{Key: e.key, Revision: e.known})
 		}
--- /dev/null
+++ b/goldcreststand/internal/watch/watcher_test.go
@@ -0,0 +1,166 @@
+package watch_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"goldcreststand.example/core/dist"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/table"
+	"goldcreststand.example/goldcreststand/internal/ctrl"
+	"goldcreststand.example/goldcreststand/internal/watch"
+	"goldcreststand.example/lib/plat"
+	"goldcreststand.example/schema/wire"
+)
+
+// Guards against calls that outlive Run.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type discard struct{}
+
+func (discard) Infof(string, ...any) {}
+func (discard) Warnf(string, ...any) {}
+
+// events collects what is posted to control.
+type events chan dist.Event
+
+func (e events) Post(_ context.Context, ev ctrl.Event) error {
+	e <- ev.(ctrl.DistSeen).Event
+	return nil
+}
+
+func start(t *testing.T, h http.HandlerFunc) (*watch.Watcher, events) {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	hc := &http.Client{Transport: &http.Transport{}}
+	w := watch.New(plat.New(srv.URL, 5*time.Second, plat.WithHTTPClient(hc)), clockwork.NewFakeClock(), discard{})
+	ctx, cancel := context.WithCancel(t.Context())
+	posted := make(events, 16)
+	go w.Run(ctx, posted)
+	t.Cleanup(func() {
+		cancel()
+		<-w.Done()
+		hc.CloseIdleConnections()
+		srv.Close()
+	})
+	return w, posted
+}
+
+// Guards against a failure that is taken for another, which would stop retries or start them too early,
+// and against a value that is not valid reaching control.
+func TestFailures(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		code int
+		body string
+		want dist.Failed
+	}{
+		{"absent", 404, "", dist.Failed{Failure: dist.FailureAbsent}},
+		{"limited", 429, "", dist.Failed{Failure: dist.FailureLimited, After: 7 * time.Second}},
+		{"outage", 503, "", dist.Failed{Failure: dist.FailureUnreachable}},
+		{"not JSON", 200, "{", dist.Failed{Failure: dist.FailureInvalid}},
+		{"not valid", 200, `{"service":"other","revision":1,"edit":"e","author":"x","rows":[],"removed":[]}`, dist.Failed{Failure: dist.FailureInvalid}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w, posted := start(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Retry-After", "7")
+				w.WriteHeader(c.code)
+				_, _ = io.WriteString(w, c.body)
+			})
+			c.want.Key, c.want.Call = dist.TableKey("inventory"), 3
+			w.Do(dist.Watch{Key: c.want.Key, Call: 3})
+			require.Equal(t, c.want, <-posted)
+		})
+	}
+}
+
+// Guards against a request without the tag and wait that keep a watch from being a poll, and against a
+// response that is attributed to another call.
+func TestWatchSendsTagAndWait(t *testing.T) {
+	w, posted := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("If-None-Match") == "7" && r.Header.Get("Prefer") == "wait=30" {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		w.Header().Set("ETag", "7")
+		_, _ = io.WriteString(w, `{"service":"inventory","revision":4,"servers":[]}`)
+	})
+	k := dist.ListingKey("inventory")
+	w.Do(dist.Watch{Key: k, Call: 1})
+	got := (<-posted).(dist.Read)
+	require.Equal(t, dist.Tag("7"), got.Tag)
+	require.EqualValues(t, 4, got.Object.Revision)
+	w.Do(dist.Watch{Key: k, Call: 2, Tag: got.Tag, Wait: 30 * time.Second})
+	require.Equal(t, dist.Unchanged{Key: k, Call: 2}, <-posted)
+}
+
+// Guards against a call that goes on, or reports, after control has replaced or ended it.
+func TestReplacedAndEndedCallsAreSilent(t *testing.T) {
+	var calls atomic.Int32
+	began, ended := make(chan struct{}, 2), make(chan struct{}, 2)
+	w, posted := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) <= 2 {
+			began <- struct{}{}
+			<-r.Context().Done()
+			ended <- struct{}{}
+			return
+		}
+		w.WriteHeader(http.StatusNotFound)
+	})
+	table, list := dist.TableKey("inventory"), dist.ListingKey("inventory")
+	w.Do(dist.Watch{Key: table, Call: 1})
+	w.Do(dist.Watch{Key: list, Call: 2})
+	<-began
+	<-began
+	w.Do(dist.Unwatch{Key: list})
+	w.Do(dist.Watch{Key: table, Call: 3})
+	<-ended
+	<-ended
+	require.Equal(t, dist.Failed{Key: table, Call: 3, Failure: dist.FailureAbsent}, <-posted)
+	require.Empty(t, posted)
+}
+
+// Guards against one name that no service can have hiding all services.
+func TestCatalogKeepsValidNames(t *testing.T) {
+	w, posted := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"names":["inventory","Not Valid","dispatch"]}`)
+	})
+	w.Do(dist.Watch{Key: dist.CatalogKey(), Call: 1})
+	require.Equal(t, []ident.ServiceName{"inventory", "dispatch"}, (<-posted).(dist.Listed).Services)
+}
+
+// Guards against a rollout status that is written twice when the response is lost, and against an older
+// status that replaces a newer one.
+func TestStoreJoins(t *testing.T) {
+	var stored *wire.Status
+	puts := 0
+	w, posted := start(t, func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodPut:
+			puts++
+			stored = new(wire.Status)
+			_ = json.NewDecoder(r.Body).Decode(stored)
+			panic(http.ErrAbortHandler)
+		case stored == nil:
+			w.WriteHeader(http.StatusNotFound)
+		default:
+			_ = json.NewEncoder(w).Encode(stored)
+		}
+	})
+	newer := &table.Status{Service: "inventory", Attempt: 2, Outcome: table.OutcomeReverted, Stage: 1}
+	w.Do(dist.Store{Call: 1, Status: newer})
+	require.Equal(t, dist.Stored{Call: 1, Status: newer}, <-posted)
+	w.Do(dist.Store{Call: 2, Status: &table.Status{Service: "inventory", Attempt: 2, Stage: 4}})
+	require.Equal(t, dist.Stored{Call: 2, Status: newer}, <-posted)
+	require.Equal(t, 1, puts)
+}
