--- a/core/dist/dist_test.go
+++ b/core/dist/dist_test.go
@@ -70,7 +70,19 @@
 					s.advance(time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * time.Millisecond)
 					r = s.edit(n)
 				}
-				s.advance(simTarget)
+				gap := time.Duration(rapid.IntRange(0, 1000).Draw(t, "gap")) * time.Millisecond
+				s.advance(gap)
+				switch x := pick(t); rapid.SampledFrom([]string{"none", "crash", "pause", "refuse", "silent"}).Draw(t, "then") {
+				case "crash":
+					s.stop(x)
+				case "pause":
+					x.paused, x.failed = true, s.now
+				case "refuse":
+					x.reach = pathRefuses
+				case "silent":
+					x.reach = pathSilent
+				}
+				s.advance(simTarget - gap)
 				require.Empty(t, s.behind(dist.TableKey(n), r))
 			},
 			"": func(t *rapid.T) { require.Empty(t, s.fault) },
