--- a/fakeplatform/internal/cmd/servecmd.go
+++ b/fakeplatform/internal/cmd/servecmd.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"time"
 
-	"goldcreststand.example/fakeplatform/internal/store"
+	"github.com/jonboulle/clockwork"
+
+	"goldcreststand.example/fakeplatform/server"
 	"goldcreststand.example/lib/cli"
 )
 
@@ -35,7 +37,7 @@
 		return err
 	}
 	_, _ = fmt.Fprintf(cfg.Out, "fakeplatform: listening on %s\n", l.Addr())
-	srv := &http.Server{Handler: store.NewHandler(store.New()), ReadHeaderTimeout: time.Minute}
+	srv := &http.Server{Handler: server.New(clockwork.NewRealClock()), ReadHeaderTimeout: time.Minute}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/goldcreststand/internal/cmd/servecmd.go
+++ b/goldcreststand/internal/cmd/servecmd.go
@@ -3,29 +3,20 @@
 import (
 	"context"
 	"flag"
-	"net"
-	"net/http"
-	"time"
+	"os"
+	"runtime/debug"
 
 	"github.com/jonboulle/clockwork"
 
-	"goldcreststand.example/core/ident"
-	"goldcreststand.example/core/route"
-	"goldcreststand.example/goldcreststand/internal/admin"
-	"goldcreststand.example/goldcreststand/internal/ctrl"
-	"goldcreststand.example/goldcreststand/internal/peer"
-	"goldcreststand.example/goldcreststand/internal/proxy"
-	"goldcreststand.example/goldcreststand/internal/watch"
-	"goldcreststand.example/lib/boot"
 	"goldcreststand.example/lib/cli"
 	"goldcreststand.example/lib/logs"
-	"goldcreststand.example/lib/plat"
 	"goldcreststand.example/schema/config"
-	"goldcreststand.example/schema/wire"
 )
 
-// headerTimeout bounds the time in which a request's headers must arrive.
-const headerTimeout = 10 * time.Second
+// gcPercent lets the heap grow to five times its live part between collections. The live part is a few
+// megabytes, so that the default of 100 collects many times per second, which shows in the 99th
+// percentile of the latency (BenchmarkCall).
+const gcPercent = 400
 
 func newServeCmd(cfg *Config) *cli.Command {
 	var file string
@@ -48,74 +39,8 @@
 	if err != nil {
 		return err
 	}
-	clock := clockwork.NewRealClock()
-	w := watch.New(plat.New(s.Platform.URL, s.Platform.Timeout.Std()), s.Platform.Wait.Std(), clock, logs.Part(log, "watch"))
-	loop := ctrl.New(ctrl.Self{ID: s.Name, Domain: s.Domain, Traffic: s.Traffic.Address, Count: s.Place.Count}, clock, boot.Clock{}, &executor{watcher: w})
-	control, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	go loop.Run(control)
-	go w.Run(control, loop)
-	link, err := startPeer(control, s, clock, logs.Part(log, "peer"))
-	if err != nil {
-		return err
-	}
-	traffic := proxy.New(proxy.Options{
-		Timeout: s.Traffic.Timeout.Std(), Maximum: s.Traffic.Maximum.Std(), Lifetime: s.Place.Lifetime.Std(),
-	}, loop, route.LeastLoaded{}, boot.Clock{})
-	servers := []*listener{
-		newListener("traffic", s.Traffic.Address.String(), traffic),
-		newListener("admin", s.Admin.Address.String(), admin.New(s.Name, s.Domain, loop)),
-	}
-	err = serveAll(ctx, servers, s.Traffic.Drain.Std(), logs.Part(log, "serve"))
-	stop()
-	<-loop.Done()
-	<-w.Done()
-	<-link.Done()
-	return err
-}
-
-// executor hands control's actions to the adapters.
-type executor struct {
-	watcher *watch.Watcher
-}
-
-var _ ctrl.Executor = (*executor)(nil)
-
-// Do queues the action with the adapter that carries it out.
-func (x *executor) Do(a ctrl.Action) {
-	if a, ok := a.(ctrl.WatchServices); ok {
-		x.watcher.SetServices(a.Services)
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
 	}
-}
-
-// startPeer opens the link to other instances.
-func startPeer(ctx context.Context, s *config.Settings, clock clockwork.Clock, log *logs.Prefixed) (*peer.Peer, error) {
-	sock, err := net.Listen("tcp", s.Peer.Address.String())
-	if err != nil {
-		return nil, err
-	}
-	p := peer.New(clock, log)
-	p.ServePing(selfOnly{id: s.Name})
-	log.Infof("listens on %s", sock.Addr())
-	go func() {
-		if err := p.Run(ctx, sock); err != nil {
-			log.Errorf("listener failed: %v", err)
-		}
-	}()
-	return p, nil
-}
-
-// selfOnly answers heartbeats for an instance that does not take part in membership yet.
-type selfOnly struct{ id ident.InstanceID }
-
-var _ peer.Pinger = selfOnly{}
-
-// Ping answers with the instance's identifier.
-func (s selfOnly) Ping(context.Context, *wire.Ping) (*wire.Pong, error) {
-	return &wire.Pong{Sender: s.id}, nil
-}
-
-// newListener returns a listener that has not started.
-func newListener(name, address string, h http.Handler) *listener {
-	return &listener{name: name, srv: &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout}}
+	return newDaemon(s, clockwork.NewRealClock(), log).run(ctx)
 }
--- /dev/null
+++ b/goldctl/internal/cmd/rollout.go
@@ -0,0 +1,48 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/jonboulle/clockwork"
+
+	"goldcreststand.example/core/table"
+	"goldcreststand.example/lib/plat"
+	"goldcreststand.example/schema/wire"
+)
+
+// collectionMoves is the platform's collection of rollout statuses.
+const collectionMoves = "moves"
+
+func (t *target) statusPath() string { return plat.ObjectPath(collectionMoves, t.service) }
+
+// progress returns the status of the table's newest rollout. A rollout that nobody has reported on runs
+// at its first stage.
+func (t *target) progress(ctx context.Context, tb *table.Table) (wire.Status, error) {
+	st, _, err := t.readStatus(ctx)
+	if err != nil {
+		return st, err
+	}
+	if st.Attempt != attemptOf(tb) {
+		return wire.Status{Attempt: attemptOf(tb), Outcome: wire.StatusOutcomeRunning}, nil
+	}
+	return st, nil
+}
+
+// writeStatus stores the status when the stored one still has the tag. When the platform's response is lost
+// it finds out whether the status was accepted.
+func (t *target) writeStatus(ctx context.Context, tag plat.Tag, st *wire.Status) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	w := plat.NewWriter(t.client(), clockwork.NewRealClock(), plat.JudgeStatus)
+	return w.Write(ctx, t.statusPath(), tag, st)
+}
+
+// readStatus returns the stored status and its tag; an absent one has an empty tag.
+func (t *target) readStatus(ctx context.Context) (wire.Status, plat.Tag, error) {
+	var st wire.Status
+	tag, err := t.client().Get(ctx, t.statusPath(), &st)
+	if plat.ErrNotFound.Has(err) {
+		return wire.Status{}, "", nil
+	}
+	return st, tag, err
+}
--- a/schema/wire/convert.go
+++ b/schema/wire/convert.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/roster"
 	"goldcreststand.example/core/table"
 )
@@ -15,9 +16,14 @@
 		Edit:     t.Edit,
 		Author:   t.Author,
 		Rows:     make([]Row, len(t.Rows)),
+		Removed:  make([]Removal, len(t.Removed)),
+		Recent:   t.Recent,
 	}
 	for i, r := range t.Rows {
-		out.Rows[i] = Row{Kind: r.Kind, Name: r.Name, Weight: r.Weight, Limit: r.Limit, State: r.State}
+		out.Rows[i] = Row{Kind: r.Kind, Name: r.Name, Weight: r.Weight, Limit: r.Limit, State: r.State, Author: r.Author, Changed: r.Changed}
+	}
+	for i, r := range t.Removed {
+		out.Removed[i] = Removal{Kind: r.Kind, Name: r.Name, Author: r.Author, Revision: r.Revision}
 	}
 	if t.Move != nil {
 		out.Move = &Move{Attempt: t.Move.Attempt, From: t.Move.From, To: t.Move.To, Deadline: t.Move.Deadline}
@@ -45,9 +51,14 @@
 		Edit:     j.Edit,
 		Author:   j.Author,
 		Rows:     make([]table.Row, len(j.Rows)),
+		Removed:  make([]table.Removal, len(j.Removed)),
+		Recent:   j.Recent,
 	}
 	for i, r := range j.Rows {
-		out.Rows[i] = table.Row{Kind: r.Kind, Name: r.Name, Weight: r.Weight, Limit: r.Limit, State: r.State}
+		out.Rows[i] = table.Row{Kind: r.Kind, Name: r.Name, Weight: r.Weight, Limit: r.Limit, State: r.State, Author: r.Author, Changed: r.Changed}
+	}
+	for i, r := range j.Removed {
+		out.Removed[i] = table.Removal{Kind: r.Kind, Name: r.Name, Author: r.Author, Revision: r.Revision}
 	}
 	if j.Move != nil {
 		out.Move = &table.Move{Attempt: j.Move.Attempt, From: j.Move.From, To: j.Move.To, Deadline: j.Move.Deadline}
@@ -66,3 +77,17 @@
 	}
 	return out
 }
+
+// FromStatus returns the message for a rollout status.
+func FromStatus(s *table.Status) *Status {
+	return &Status{Attempt: s.Attempt, Outcome: StatusOutcome(s.Outcome.String()), Stage: s.Stage, Reason: s.Reason}
+}
+
+// Core returns the status that the message describes, of the service that its key names.
+func (j *Status) Core(n ident.ServiceName) (*table.Status, error) {
+	o, err := table.OutcomeString(string(j.Outcome))
+	if err != nil {
+		return nil, err
+	}
+	return &table.Status{Service: n, Attempt: j.Attempt, Outcome: o, Stage: j.Stage, Reason: j.Reason}, nil
+}
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -109,11 +109,85 @@
 	return nil
 }
 
-// Fetch is the parameter of the method fetch: it asks for objects newer than the
-// given revisions.
+// Faults sets how a fake backend server misbehaves; what is left out is off.
+type Faults struct {
+	// Calls in flight above which slow and fail apply.
+	Above *ident.Slots `json:"above,omitempty,omitzero"`
+
+	// Time after which slow and fail begin.
+	After *ident.Duration `json:"after,omitempty,omitzero"`
+
+	// Calls in flight that are reported in place of the true number.
+	Claim *ident.Slots `json:"claim,omitempty,omitzero"`
+
+	// Calls whose request is read and whose connection is then closed, in per mille.
+	Close *ident.Share `json:"close,omitempty,omitzero"`
+
+	// Whether the server starts cold: with one slot, more after completed calls.
+	Cold *bool `json:"cold,omitempty,omitzero"`
+
+	// Calls whose response is sent in place of the next response on the connection,
+	// in per mille.
+	Crossed *ident.Share `json:"crossed,omitempty,omitzero"`
+
+	// Whether the server is draining.
+	Drain *bool `json:"drain,omitempty,omitzero"`
+
+	// Calls that fail at once with 500, in per mille.
+	Fail *ident.Share `json:"fail,omitempty,omitzero"`
+
+	// Age of the reported load.
+	Lag *ident.Duration `json:"lag,omitempty,omitzero"`
+
+	// Calls whose response is sent after the deadline in Request-Timeout, in per
+	// mille.
+	Late *ident.Share `json:"late,omitempty,omitzero"`
+
+	// Route to which slow and fail are limited.
+	Route *ident.RouteName `json:"route,omitempty,omitzero"`
+
+	// Calls that are rejected with the load-shedding signal, in per mille.
+	Shed *ident.Share `json:"shed,omitempty,omitzero"`
+
+	// Whether the connections that are open now go quiet for good; new ones work.
+	Silent *bool `json:"silent,omitempty,omitzero"`
+
+	// Factor on the time that a call takes; 0 counts as 1.
+	Slow *float64 `json:"slow,omitempty,omitzero"`
+
+	// Calls whose response is truncated, in per mille.
+	Truncate *ident.Share `json:"truncate,omitempty,omitzero"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Faults) UnmarshalJSON(value []byte) error {
+	type Plain Faults
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if plain.Slow != nil && 0 > *plain.Slow {
+		return fmt.Errorf("field %s: must be >= %v", "slow", 0)
+	}
+	*j = Faults(plain)
+	return nil
+}
+
+// Fetch is the parameter of the method fetch: it tells of revisions and asks for
+// objects newer than the given revisions.
 type Fetch struct {
-	// Keys with the revision that the sender holds.
+	// Parts of the sender's digest, in hexadecimal; asks for the revisions in the
+	// parts that differ.
+	Buckets []string `json:"buckets,omitempty,omitzero"`
+
+	// Objects that are asked for, with the revision that the sender holds.
 	Held []Held `json:"held"`
+
+	// Revisions that the sender learned.
+	News []Held `json:"news,omitempty,omitzero"`
+
+	// Identifier of the sender.
+	Sender ident.InstanceID `json:"sender"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -125,13 +199,22 @@
 	if _, ok := raw["held"]; raw != nil && !ok {
 		return fmt.Errorf("field held in Fetch: required")
 	}
+	if _, ok := raw["sender"]; raw != nil && !ok {
+		return fmt.Errorf("field sender in Fetch: required")
+	}
 	type Plain Fetch
 	var plain Plain
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
-	if len(plain.Held) > 256 {
-		return fmt.Errorf("field %s length: must be <= %d", "held", 256)
+	if len(plain.Buckets) > 16 {
+		return fmt.Errorf("field %s length: must be <= %d", "buckets", 16)
+	}
+	if len(plain.Held) > 16 {
+		return fmt.Errorf("field %s length: must be <= %d", "held", 16)
+	}
+	if len(plain.News) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "news", 64)
 	}
 	*j = Fetch(plain)
 	return nil
@@ -139,6 +222,9 @@
 
 // Fetched is the result of the method fetch.
 type Fetched struct {
+	// Revisions in the parts of the digest that differ.
+	Held []Held `json:"held,omitempty,omitzero"`
+
 	// Newer server lists.
 	Listings []Listing `json:"listings"`
 
@@ -169,6 +255,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if len(plain.Held) > 4000 {
+		return fmt.Errorf("field %s length: must be <= %d", "held", 4000)
+	}
 	*j = Fetched(plain)
 	return nil
 }
@@ -209,6 +298,60 @@
 	return nil
 }
 
+// InForce is what one instance does for one service.
+type InForce struct {
+	// Revision of the routing table in force.
+	Revision ident.Revision `json:"revision"`
+
+	// Backend servers that may take new work from the instance.
+	Servers int `json:"servers"`
+
+	// Service that the table is for.
+	Service ident.ServiceName `json:"service"`
+
+	// Whether the instance serves the service.
+	Serving bool `json:"serving"`
+
+	// Calls in flight that the instance may have at them.
+	Slots int `json:"slots"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *InForce) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["revision"]; raw != nil && !ok {
+		return fmt.Errorf("field revision in InForce: required")
+	}
+	if _, ok := raw["servers"]; raw != nil && !ok {
+		return fmt.Errorf("field servers in InForce: required")
+	}
+	if _, ok := raw["service"]; raw != nil && !ok {
+		return fmt.Errorf("field service in InForce: required")
+	}
+	if _, ok := raw["serving"]; raw != nil && !ok {
+		return fmt.Errorf("field serving in InForce: required")
+	}
+	if _, ok := raw["slots"]; raw != nil && !ok {
+		return fmt.Errorf("field slots in InForce: required")
+	}
+	type Plain InForce
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Servers {
+		return fmt.Errorf("field %s: must be >= %v", "servers", 0)
+	}
+	if 0 > plain.Slots {
+		return fmt.Errorf("field %s: must be >= %v", "slots", 0)
+	}
+	*j = InForce(plain)
+	return nil
+}
+
 // Keys lists the names of the objects of one collection of the platform.
 type Keys struct {
 	// Names of the objects.
@@ -233,6 +376,36 @@
 	return nil
 }
 
+// Life names one life of a backend server.
+type Life struct {
+	// Number of the server's life.
+	Incarnation ident.Incarnation `json:"incarnation"`
+
+	// Identifier of the backend server.
+	Server ident.ServerID `json:"server"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Life) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["incarnation"]; raw != nil && !ok {
+		return fmt.Errorf("field incarnation in Life: required")
+	}
+	if _, ok := raw["server"]; raw != nil && !ok {
+		return fmt.Errorf("field server in Life: required")
+	}
+	type Plain Life
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Life(plain)
+	return nil
+}
+
 // Listing is the platform's list of the backend servers of a service.
 type Listing struct {
 	// Number of the change, growing.
@@ -451,6 +624,179 @@
 	return nil
 }
 
+// PlatformCalls counts the calls of the fake platform since its start.
+type PlatformCalls struct {
+	// Calls that an outage failed.
+	Failed int `json:"failed"`
+
+	// Reads of objects that do not wait.
+	Gets int `json:"gets"`
+
+	// Reads of the instance list that do not wait.
+	Instances int `json:"instances"`
+
+	// Calls refused because of a rate limit.
+	Limited int `json:"limited"`
+
+	// Reads of lists of names that do not wait.
+	Lists int `json:"lists"`
+
+	// Watches that wait now.
+	Pending int `json:"pending"`
+
+	// Writes of objects.
+	Puts int `json:"puts"`
+
+	// Reads of objects, lists and instances that may wait.
+	Watches int `json:"watches"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *PlatformCalls) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["failed"]; raw != nil && !ok {
+		return fmt.Errorf("field failed in PlatformCalls: required")
+	}
+	if _, ok := raw["gets"]; raw != nil && !ok {
+		return fmt.Errorf("field gets in PlatformCalls: required")
+	}
+	if _, ok := raw["instances"]; raw != nil && !ok {
+		return fmt.Errorf("field instances in PlatformCalls: required")
+	}
+	if _, ok := raw["limited"]; raw != nil && !ok {
+		return fmt.Errorf("field limited in PlatformCalls: required")
+	}
+	if _, ok := raw["lists"]; raw != nil && !ok {
+		return fmt.Errorf("field lists in PlatformCalls: required")
+	}
+	if _, ok := raw["pending"]; raw != nil && !ok {
+		return fmt.Errorf("field pending in PlatformCalls: required")
+	}
+	if _, ok := raw["puts"]; raw != nil && !ok {
+		return fmt.Errorf("field puts in PlatformCalls: required")
+	}
+	if _, ok := raw["watches"]; raw != nil && !ok {
+		return fmt.Errorf("field watches in PlatformCalls: required")
+	}
+	type Plain PlatformCalls
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Failed {
+		return fmt.Errorf("field %s: must be >= %v", "failed", 0)
+	}
+	if 0 > plain.Gets {
+		return fmt.Errorf("field %s: must be >= %v", "gets", 0)
+	}
+	if 0 > plain.Instances {
+		return fmt.Errorf("field %s: must be >= %v", "instances", 0)
+	}
+	if 0 > plain.Limited {
+		return fmt.Errorf("field %s: must be >= %v", "limited", 0)
+	}
+	if 0 > plain.Lists {
+		return fmt.Errorf("field %s: must be >= %v", "lists", 0)
+	}
+	if 0 > plain.Pending {
+		return fmt.Errorf("field %s: must be >= %v", "pending", 0)
+	}
+	if 0 > plain.Puts {
+		return fmt.Errorf("field %s: must be >= %v", "puts", 0)
+	}
+	if 0 > plain.Watches {
+		return fmt.Errorf("field %s: must be >= %v", "watches", 0)
+	}
+	*j = PlatformCalls(plain)
+	return nil
+}
+
+// PlatformFaults sets how the fake platform misbehaves; what is left out is off.
+type PlatformFaults struct {
+	// Time before each response.
+	Delay *ident.Duration `json:"delay,omitempty,omitzero"`
+
+	// Age of the instance list.
+	Lag *ident.Duration `json:"lag,omitempty,omitzero"`
+
+	// Share of writes, in per mille, whose response is lost after the write took
+	// effect.
+	Lost *ident.Share `json:"lost,omitempty,omitzero"`
+
+	// How calls fail: not at all, with an error at once, or without any response.
+	Outage *PlatformFaultsOutage `json:"outage,omitempty,omitzero"`
+
+	// Largest number of reads per second; 0 sets no limit.
+	Reads *int `json:"reads,omitempty,omitzero"`
+
+	// Age of the objects that the replica shows.
+	Replica *ident.Duration `json:"replica,omitempty,omitzero"`
+
+	// Seed of the random choices.
+	Seed *int `json:"seed,omitempty,omitzero"`
+
+	// Share of reads, in per mille, that go to the replica.
+	Stale *ident.Share `json:"stale,omitempty,omitzero"`
+
+	// Largest number of writes per second; 0 sets no limit.
+	Writes *int `json:"writes,omitempty,omitzero"`
+}
+
+type PlatformFaultsOutage string
+
+const PlatformFaultsOutageError PlatformFaultsOutage = "error"
+const PlatformFaultsOutageNone PlatformFaultsOutage = "none"
+const PlatformFaultsOutageSilent PlatformFaultsOutage = "silent"
+
+var enumValues_PlatformFaultsOutage = []interface{}{
+	"none",
+	"error",
+	"silent",
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *PlatformFaultsOutage) UnmarshalJSON(value []byte) error {
+	var v string
+	if err := json.Unmarshal(value, &v); err != nil {
+		return err
+	}
+	var ok bool
+	for _, expected := range enumValues_PlatformFaultsOutage {
+		if reflect.DeepEqual(v, expected) {
+			ok = true
+			break
+		}
+	}
+	if !ok {
+		return fmt.Errorf("invalid value (expected one of %#v): %#v", enumValues_PlatformFaultsOutage, v)
+	}
+	*j = PlatformFaultsOutage(v)
+	return nil
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *PlatformFaults) UnmarshalJSON(value []byte) error {
+	type Plain PlatformFaults
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if plain.Reads != nil && 0 > *plain.Reads {
+		return fmt.Errorf("field %s: must be >= %v", "reads", 0)
+	}
+	if plain.Seed != nil && 0 > *plain.Seed {
+		return fmt.Errorf("field %s: must be >= %v", "seed", 0)
+	}
+	if plain.Writes != nil && 0 > *plain.Writes {
+		return fmt.Errorf("field %s: must be >= %v", "writes", 0)
+	}
+	*j = PlatformFaults(plain)
+	return nil
+}
+
 // Pong is the result of the method ping.
 type Pong struct {
 	// Hash over all held objects, in hexadecimal.
@@ -535,9 +881,84 @@
 	return nil
 }
 
-// Report is the parameter of the method report: outcome counts of a version
-// rollout.
+// Receipt is the result of the method report.
+type Receipt struct {
+	// Instance that took the report.
+	Sender ident.InstanceID `json:"sender"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Receipt) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["sender"]; raw != nil && !ok {
+		return fmt.Errorf("field sender in Receipt: required")
+	}
+	type Plain Receipt
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Receipt(plain)
+	return nil
+}
+
+// Removal remembers who removed a row.
+type Removal struct {
+	// Operator who removed the row.
+	Author string `json:"author"`
+
+	// Subject of the row.
+	Kind table.Kind `json:"kind"`
+
+	// Name of the subject.
+	Name string `json:"name"`
+
+	// Revision that removed the row.
+	Revision ident.Revision `json:"revision"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Removal) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["author"]; raw != nil && !ok {
+		return fmt.Errorf("field author in Removal: required")
+	}
+	if _, ok := raw["kind"]; raw != nil && !ok {
+		return fmt.Errorf("field kind in Removal: required")
+	}
+	if _, ok := raw["name"]; raw != nil && !ok {
+		return fmt.Errorf("field name in Removal: required")
+	}
+	if _, ok := raw["revision"]; raw != nil && !ok {
+		return fmt.Errorf("field revision in Removal: required")
+	}
+	type Plain Removal
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if utf8.RuneCountInString(string(plain.Author)) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "author", 64)
+	}
+	if matched, _ := regexp.MatchString(`^[a-z0-9][a-z0-9._-]{0,63}$`, string(plain.Name)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "Name", `^[a-z0-9][a-z0-9._-]{0,63}$`)
+	}
+	*j = Removal(plain)
+	return nil
+}
+
+// Report is the parameter of the method report: the sender's rollout status and
+// its outcome counts.
 type Report struct {
+	// Whether the sender does not know if its status is up to date.
+	Asks bool `json:"asks"`
+
 	// Number of the rollout.
 	Attempt ident.Attempt `json:"attempt"`
 
@@ -549,6 +970,12 @@
 
 	// Service of the rollout.
 	Service ident.ServiceName `json:"service"`
+
+	// Status corresponds to the JSON schema field "status".
+	Status Status `json:"status"`
+
+	// Servers of the new version with recent bad calls, worst first.
+	Suspects []Suspect `json:"suspects"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -557,6 +984,9 @@
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
+	if _, ok := raw["asks"]; raw != nil && !ok {
+		return fmt.Errorf("field asks in Report: required")
+	}
 	if _, ok := raw["attempt"]; raw != nil && !ok {
 		return fmt.Errorf("field attempt in Report: required")
 	}
@@ -569,6 +999,12 @@
 	if _, ok := raw["service"]; raw != nil && !ok {
 		return fmt.Errorf("field service in Report: required")
 	}
+	if _, ok := raw["status"]; raw != nil && !ok {
+		return fmt.Errorf("field status in Report: required")
+	}
+	if _, ok := raw["suspects"]; raw != nil && !ok {
+		return fmt.Errorf("field suspects in Report: required")
+	}
 	type Plain Report
 	var plain Plain
 	if err := json.Unmarshal(value, &plain); err != nil {
@@ -577,12 +1013,21 @@
 	if len(plain.Counts) > 256 {
 		return fmt.Errorf("field %s length: must be <= %d", "counts", 256)
 	}
+	if len(plain.Suspects) > 8 {
+		return fmt.Errorf("field %s length: must be <= %d", "suspects", 8)
+	}
 	*j = Report(plain)
 	return nil
 }
 
 // Row is one row of a routing table.
 type Row struct {
+	// Operator who made the last change of the row.
+	Author string `json:"author"`
+
+	// Revision of the last change of the row.
+	Changed ident.Revision `json:"changed"`
+
 	// Subject of the row.
 	Kind table.Kind `json:"kind"`
 
@@ -605,6 +1050,12 @@
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
+	if _, ok := raw["author"]; raw != nil && !ok {
+		return fmt.Errorf("field author in Row: required")
+	}
+	if _, ok := raw["changed"]; raw != nil && !ok {
+		return fmt.Errorf("field changed in Row: required")
+	}
 	if _, ok := raw["kind"]; raw != nil && !ok {
 		return fmt.Errorf("field kind in Row: required")
 	}
@@ -625,6 +1076,9 @@
 	if err := json.Unmarshal(value, &plain); err != nil {
 		return err
 	}
+	if utf8.RuneCountInString(string(plain.Author)) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "author", 64)
+	}
 	if matched, _ := regexp.MatchString(`^[a-z0-9][a-z0-9._-]{0,63}$`, string(plain.Name)); !matched {
 		return fmt.Errorf("field %s pattern match: must match %s", "Name", `^[a-z0-9][a-z0-9._-]{0,63}$`)
 	}
@@ -785,6 +1239,48 @@
 	return nil
 }
 
+// Suspect holds the recent bad calls at one backend server; older ones count less.
+type Suspect struct {
+	// Weighted number of failures.
+	Failures float64 `json:"failures"`
+
+	// Identifier of the backend server.
+	Server ident.ServerID `json:"server"`
+
+	// Weighted number of slow calls.
+	Slow float64 `json:"slow"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Suspect) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["failures"]; raw != nil && !ok {
+		return fmt.Errorf("field failures in Suspect: required")
+	}
+	if _, ok := raw["server"]; raw != nil && !ok {
+		return fmt.Errorf("field server in Suspect: required")
+	}
+	if _, ok := raw["slow"]; raw != nil && !ok {
+		return fmt.Errorf("field slow in Suspect: required")
+	}
+	type Plain Suspect
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Failures {
+		return fmt.Errorf("field %s: must be >= %v", "failures", 0)
+	}
+	if 0 > plain.Slow {
+		return fmt.Errorf("field %s: must be >= %v", "slow", 0)
+	}
+	*j = Suspect(plain)
+	return nil
+}
+
 // Table is the routing table of a service: the value of the platform object
 // tables/<service>.
 type Table struct {
@@ -797,6 +1293,12 @@
 	// Move corresponds to the JSON schema field "move".
 	Move *Move `json:"move,omitempty,omitzero"`
 
+	// Identifiers of the edits before this one, oldest first.
+	Recent []ident.EditID `json:"recent,omitempty,omitzero"`
+
+	// Rows that were removed last, oldest first.
+	Removed []Removal `json:"removed"`
+
 	// Number of the edit, growing by one.
 	Revision ident.Revision `json:"revision"`
 
@@ -819,6 +1321,9 @@
 	if _, ok := raw["edit"]; raw != nil && !ok {
 		return fmt.Errorf("field edit in Table: required")
 	}
+	if _, ok := raw["removed"]; raw != nil && !ok {
+		return fmt.Errorf("field removed in Table: required")
+	}
 	if _, ok := raw["revision"]; raw != nil && !ok {
 		return fmt.Errorf("field revision in Table: required")
 	}
@@ -839,6 +1344,12 @@
 	if utf8.RuneCountInString(string(plain.Author)) > 64 {
 		return fmt.Errorf("field %s length: must be <= %d", "author", 64)
 	}
+	if len(plain.Recent) > 8 {
+		return fmt.Errorf("field %s length: must be <= %d", "recent", 8)
+	}
+	if len(plain.Removed) > 100 {
+		return fmt.Errorf("field %s length: must be <= %d", "removed", 100)
+	}
 	if len(plain.Rows) > 4000 {
 		return fmt.Errorf("field %s length: must be <= %d", "rows", 4000)
 	}
@@ -846,6 +1357,88 @@
 	return nil
 }
 
+// Tally counts what one fake backend server, or all of them, did.
+type Tally struct {
+	// Connections that were accepted.
+	Connections int `json:"connections"`
+
+	// Executions beyond the first one of a request id whose method is not safe, over
+	// all servers.
+	Doubled int `json:"doubled"`
+
+	// Calls that were executed.
+	Executed int `json:"executed"`
+
+	// Connections that were closed because the server held too many.
+	Overflow int `json:"overflow"`
+
+	// Largest number of calls in flight at one server.
+	Peak int `json:"peak"`
+
+	// Executions of a request id beyond its first one, over all servers.
+	Repeated int `json:"repeated"`
+
+	// Calls that began while all slots were in use.
+	Violations int `json:"violations"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Tally) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["connections"]; raw != nil && !ok {
+		return fmt.Errorf("field connections in Tally: required")
+	}
+	if _, ok := raw["doubled"]; raw != nil && !ok {
+		return fmt.Errorf("field doubled in Tally: required")
+	}
+	if _, ok := raw["executed"]; raw != nil && !ok {
+		return fmt.Errorf("field executed in Tally: required")
+	}
+	if _, ok := raw["overflow"]; raw != nil && !ok {
+		return fmt.Errorf("field overflow in Tally: required")
+	}
+	if _, ok := raw["peak"]; raw != nil && !ok {
+		return fmt.Errorf("field peak in Tally: required")
+	}
+	if _, ok := raw["repeated"]; raw != nil && !ok {
+		return fmt.Errorf("field repeated in Tally: required")
+	}
+	if _, ok := raw["violations"]; raw != nil && !ok {
+		return fmt.Errorf("field violations in Tally: required")
+	}
+	type Plain Tally
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Connections {
+		return fmt.Errorf("field %s: must be >= %v", "connections", 0)
+	}
+	if 0 > plain.Doubled {
+		return fmt.Errorf("field %s: must be >= %v", "doubled", 0)
+	}
+	if 0 > plain.Executed {
+		return fmt.Errorf("field %s: must be >= %v", "executed", 0)
+	}
+	if 0 > plain.Overflow {
+		return fmt.Errorf("field %s: must be >= %v", "overflow", 0)
+	}
+	if 0 > plain.Peak {
+		return fmt.Errorf("field %s: must be >= %v", "peak", 0)
+	}
+	if 0 > plain.Repeated {
+		return fmt.Errorf("field %s: must be >= %v", "repeated", 0)
+	}
+	if 0 > plain.Violations {
+		return fmt.Errorf("field %s: must be >= %v", "violations", 0)
+	}
+	*j = Tally(plain)
+	return nil
+}
+
 // View is what one instance reports of itself to operators.
 type View struct {
 	// Failure domain of the instance.
@@ -861,7 +1454,7 @@
 	State ViewState `json:"state"`
 
 	// Routing tables in force.
-	Tables []Held `json:"tables"`
+	Tables []InForce `json:"tables"`
 }
 
 type ViewState string
@@ -922,3 +1515,37 @@
 	*j = View(plain)
 	return nil
 }
+
+// Warmth is the parameter and the result of the method warm: the servers that the
+// sender asks about, and those of them that the receiver knows to be warm.
+type Warmth struct {
+	// Lives of backend servers.
+	Lives []Life `json:"lives"`
+
+	// Service of the servers.
+	Service ident.ServiceName `json:"service"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Warmth) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["lives"]; raw != nil && !ok {
+		return fmt.Errorf("field lives in Warmth: required")
+	}
+	if _, ok := raw["service"]; raw != nil && !ok {
+		return fmt.Errorf("field service in Warmth: required")
+	}
+	type Plain Warmth
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if len(plain.Lives) > 1024 {
+		return fmt.Errorf("field %s length: must be <= %d", "lives", 1024)
+	}
+	*j = Warmth(plain)
+	return nil
+}
