goldcreststand: let membership decide which instances serve

Cause: every instance took itself to be the only one. Change: control drives the membership core; heartbeats carry the news and digest of the distribution; live members become the nodes, traffic and peer addresses of control. The status page lists members, and readyz fails while the instance leaves. Ruled out: Held in the membership core (it would know of distribution); removing suspects from the placement (each paused instance would move services for a second). Failure found by the race detector, with a test: readers of the member list shared a field that control replaces.

--- a/core/member/core.go
+++ b/core/member/core.go
@@ -153,7 +153,7 @@
 			e.State, e.since = StateDead, c.now
 			// Whoever heard of the suspicion comes to the same end at about the same time.
 			c.queue.keep(id, c.transmissions())
-			c.version++
+			c.changed(e)
 		case e.State == StateSuspect && e.suspector && c.now.Sub(e.notified) >= c.cfg.Interval:
 			e.notified = c.now
 			c.send(kindNotify, id, e.Peer, c.ping(id))
@@ -166,6 +166,12 @@
 	}
 }
 
+// changed notes that the record of a member is another one.
+func (c *Core) changed(e *entry) {
+	c.version++
+	c.actions = append(c.actions, Changed{Record: e.Record})
+}
+
 func (c *Core) forget(id ident.InstanceID) {
 	delete(c.members, id)
 	c.ids = slices.DeleteFunc(c.ids, func(x ident.InstanceID) bool { return x == id })
--- a/core/member/event.go
+++ b/core/member/event.go
@@ -77,6 +77,9 @@
 // Conflict reports that another process uses this instance's name.
 type Conflict struct{ Record Record }
 
+// Changed reports that an instance entered another state, or started anew.
+type Changed struct{ Record Record }
+
 // Departed reports that the leave was announced to others, as far as they respond.
 type Departed struct{}
 
@@ -84,10 +87,12 @@
 	_ Action = Send{}
 	_ Action = Reply{}
 	_ Action = Conflict{}
+	_ Action = Changed{}
 	_ Action = Departed{}
 )
 
 func (Send) action()     {}
 func (Reply) action()    {}
 func (Conflict) action() {}
+func (Changed) action()  {}
 func (Departed) action() {}
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -131,7 +131,7 @@
 	full := r.Full() && !sameLife(r.Incarnation, e.Incarnation)
 	e.Record, e.since, e.suspector = r.complete(e.Record), c.now, false
 	c.queue.put(r.ID, full)
-	c.version++
+	c.changed(e)
 	return true
 }
 
@@ -144,7 +144,7 @@
 	if !page {
 		c.queue.put(r.ID, true)
 	}
-	c.version++
+	c.changed(c.members[r.ID])
 }
 
 // refute handles a record of this instance that others hold. It raises the incarnation when the record
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -92,7 +92,7 @@
 	}
 	e.State, e.since, e.suspector, e.notified = StateSuspect, c.now, true, c.now
 	c.queue.put(e.ID, false)
-	c.version++
+	c.changed(e)
 	c.send(kindNotify, e.ID, e.Peer, c.ping(e.ID))
 }
 
--- a/goldcreststand/internal/admin/handler.go
+++ b/goldcreststand/internal/admin/handler.go
@@ -10,25 +10,29 @@
 	"github.com/labstack/echo/v4"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/member"
 	"goldcreststand.example/core/route"
 	"goldcreststand.example/schema/wire"
 )
 
-// Snapshots gives the newest snapshot.
-type Snapshots interface {
+// Control gives what control has published.
+type Control interface {
+	// Load returns the newest snapshot.
 	Load() *route.Snapshot
+	// Members returns the known instances, this one included.
+	Members() []member.Record
 }
 
 // Handler serves operators.
 type Handler struct {
-	id        ident.InstanceID
-	domain    ident.DomainName
-	snapshots Snapshots
+	id      ident.InstanceID
+	domain  ident.DomainName
+	control Control
 }
 
 // New returns the HTTP interface for operators.
-func New(id ident.InstanceID, domain ident.DomainName, s Snapshots) http.Handler {
-	h := &Handler{id: id, domain: domain, snapshots: s}
+func New(id ident.InstanceID, domain ident.DomainName, c Control) http.Handler {
+	h := &Handler{id: id, domain: domain, control: c}
 	e := echo.New()
 	e.GET("/status", h.status)
 	e.GET("/livez", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
@@ -39,23 +43,36 @@
 
 func (h *Handler) status(c echo.Context) error {
 	v := wire.View{ID: h.id, Domain: h.domain, State: wire.ViewStateStarting, Tables: []wire.InForce{}, Members: []wire.Member{}}
-	for _, s := range h.snapshots.Load().Services {
+	for _, s := range h.control.Load().Services {
 		v.Tables = append(v.Tables, inForce(s))
 	}
 	slices.SortFunc(v.Tables, func(a, b wire.InForce) int { return cmp.Compare(a.Service, b.Service) })
 	if len(v.Tables) > 0 {
 		v.State = wire.ViewStateReady
 	}
+	if h.leaving() {
+		v.State = wire.ViewStateDraining
+	}
+	for _, r := range h.control.Members() {
+		v.Members = append(v.Members, wire.FromMember(r))
+	}
 	return c.JSON(http.StatusOK, v)
 }
 
 func (h *Handler) ready(c echo.Context) error {
-	if len(h.snapshots.Load().Services) == 0 {
+	if len(h.control.Load().Services) == 0 || h.leaving() {
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
 	return c.NoContent(http.StatusOK)
 }
 
+// leaving reports whether this instance shuts down.
+func (h *Handler) leaving() bool {
+	return slices.ContainsFunc(h.control.Members(), func(r member.Record) bool {
+		return r.ID == h.id && r.State == member.StateLeft
+	})
+}
+
 func inForce(s *route.Service) wire.InForce {
 	f := wire.InForce{Service: s.Name, Revision: s.Revision, Serving: s.Local, Servers: len(s.Servers)}
 	for _, b := range s.Servers {
--- /dev/null
+++ b/goldcreststand/internal/beat/beat.go
@@ -0,0 +1,188 @@
+// Package beat sends and answers heartbeats for control.
+package beat
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"goldcreststand.example/core/dist"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/member"
+	"goldcreststand.example/goldcreststand/internal/ctrl"
+	"goldcreststand.example/schema/wire"
+)
+
+// concurrency bounds the heartbeats that wait for a response. Two probes a second, their indirect probes
+// and relays for others need about 20 when a quarter of the instances does not respond.
+const concurrency = 64
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("beat")
+
+// Poster hands events to control.
+type Poster interface {
+	Post(ctx context.Context, ev ctrl.Event) error
+}
+
+// Link calls other instances.
+type Link interface {
+	Ping(ctx context.Context, to netip.AddrPort, p *wire.Ping) (*wire.Pong, error)
+}
+
+// Log is the log of an Exchange.
+type Log interface {
+	Debugf(format string, args ...any)
+	Infof(format string, args ...any)
+	Warnf(format string, args ...any)
+}
+
+// Exchange is both ends of the method ping.
+type Exchange struct {
+	link    Link
+	log     Log
+	timeout time.Duration
+	queue   chan ctrl.SendPing
+	done    chan struct{}
+	// departed is closed when the leave was announced.
+	departed chan struct{}
+	once     sync.Once
+	// ready is closed when poster is set.
+	ready  chan struct{}
+	poster Poster
+}
+
+// New returns an exchange that has not started. A heartbeat fails after the timeout.
+func New(l Link, timeout time.Duration, log Log) *Exchange {
+	return &Exchange{
+		link: l, log: log, timeout: timeout,
+		queue:    make(chan ctrl.SendPing, concurrency),
+		done:     make(chan struct{}),
+		departed: make(chan struct{}),
+		ready:    make(chan struct{}),
+	}
+}
+
+// Done is closed when Run and all its calls have returned.
+func (x *Exchange) Done() <-chan struct{} { return x.done }
+
+// Departed is closed when other instances have been told that this one leaves.
+func (x *Exchange) Departed() <-chan struct{} { return x.departed }
+
+// Do queues a heartbeat and does not block. A heartbeat for which the queue has no room is left out;
+// control notices that no response came.
+func (x *Exchange) Do(a ctrl.SendPing) {
+	select {
+	case x.queue <- a:
+	default:
+		x.log.Debugf("queue is full; heartbeat to %s left out", a.To)
+	}
+}
+
+// Note logs what the membership reports.
+func (x *Exchange) Note(a member.Action) {
+	switch a := a.(type) {
+	case member.Changed:
+		x.log.Infof("instance %s is %s, incarnation %d", a.Record.ID, a.Record.State, a.Record.Incarnation)
+	case member.Conflict:
+		x.log.Warnf("another process with address %s uses the name %s", a.Record.Peer, a.Record.ID)
+	case member.Departed:
+		x.once.Do(func() { close(x.departed) })
+	}
+}
+
+// Run sends heartbeats until the context ends and posts to p.
+func (x *Exchange) Run(ctx context.Context, p Poster) {
+	defer close(x.done)
+	x.poster = p
+	close(x.ready)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	free := make(chan struct{}, concurrency)
+	for {
+		select {
+		case a := <-x.queue:
+			select {
+			case free <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			wg.Go(func() {
+				defer func() { <-free }()
+				x.send(ctx, a)
+			})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (x *Exchange) send(ctx context.Context, a ctrl.SendPing) {
+	call, cancel := context.WithTimeout(ctx, x.timeout)
+	defer cancel()
+	msg := wire.FromPing(a.Ping)
+	digest := a.Digest.String()
+	msg.Held, msg.Digest = wire.FromHeld(a.Held), &digest
+	var ev ctrl.Event = ctrl.PingFailed{Exchange: a.Exchange}
+	pong, err := x.link.Ping(call, a.To, msg)
+	if err == nil {
+		ev, err = seen(a.Exchange, pong)
+	}
+	if err != nil {
+		x.log.Debugf("heartbeat to %s failed: %v", a.To, err)
+		ev = ctrl.PingFailed{Exchange: a.Exchange}
+	}
+	// The post fails only when control has ended.
+	_ = x.poster.Post(ctx, ev)
+}
+
+func seen(e member.Exchange, pong *wire.Pong) (ctrl.Event, error) {
+	r, err := rider(pong.Held, pong.Digest)
+	return ctrl.PongSeen{Exchange: e, Pong: ctrl.Pong{Pong: pong.Core(), Rider: r}}, err
+}
+
+func rider(held []wire.Held, digest *string) (ctrl.Rider, error) {
+	out := ctrl.Rider{Held: wire.CoreHeld(held)}
+	if digest == nil {
+		return out, Error.New("digest is missing")
+	}
+	var err error
+	out.Digest, err = dist.ParseDigest(*digest)
+	return out, Error.Wrap(err)
+}
+
+// Ping answers a heartbeat with what control says.
+func (x *Exchange) Ping(ctx context.Context, p *wire.Ping) (*wire.Pong, error) {
+	select {
+	case <-x.ready:
+	case <-ctx.Done():
+		return nil, Error.Wrap(ctx.Err())
+	}
+	r, err := rider(p.Held, p.Digest)
+	if err != nil {
+		return nil, err
+	}
+	reply := make(chan ctrl.Pong, 1)
+	if err := x.poster.Post(ctx, ctrl.PingSeen{Ping: p.Core(), Rider: r, Reply: reply}); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	select {
+	case pong := <-reply:
+		out, digest := wire.FromPong(pong.Pong), pong.Digest.String()
+		out.Held, out.Digest = wire.FromHeld(pong.Held), &digest
+		return out, nil
+	case <-ctx.Done():
+		return nil, Error.Wrap(ctx.Err())
+	}
+}
+
+// Config returns the membership's settings for the times of an instance.
+func Config(seeds []netip.AddrPort, interval, suspect, dead ident.Duration) member.Config {
+	cfg := member.DefaultConfig()
+	cfg.Seeds = seeds
+	cfg.Interval, cfg.Suspect, cfg.Dead = interval.Std(), suspect.Std(), dead.Std()
+	return cfg
+}
--- /dev/null
+++ b/goldcreststand/internal/beat/beat_test.go
@@ -0,0 +1,124 @@
+package beat_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"goldcreststand.example/core/dist"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/member"
+	"goldcreststand.example/goldcreststand/internal/beat"
+	"goldcreststand.example/goldcreststand/internal/ctrl"
+	"goldcreststand.example/goldcreststand/internal/peer"
+	"goldcreststand.example/lib/boot"
+	"goldcreststand.example/schema/wire"
+)
+
+// Guards against goroutines that outlive Run.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type discard struct{}
+
+func (discard) Debugf(string, ...any) {}
+func (discard) Infof(string, ...any)  {}
+func (discard) Warnf(string, ...any)  {}
+
+type executor struct{ x *beat.Exchange }
+
+func (e *executor) Do(a ctrl.Action) {
+	switch a := a.(type) {
+	case ctrl.SendPing:
+		e.x.Do(a)
+	case member.Action:
+		e.x.Note(a)
+	}
+}
+
+type instance struct {
+	loop *ctrl.Loop
+	x    *beat.Exchange
+	link *peer.Peer
+}
+
+// start runs control, heartbeats and the link of an instance until the test ends.
+func start(t *testing.T, id ident.InstanceID, sock net.Listener, seeds ...netip.AddrPort) *instance {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	in := &instance{link: peer.New(clock, discard{})}
+	in.x = beat.New(in.link, 100*time.Millisecond, discard{})
+	in.link.ServePing(in.x)
+	ms := ident.Duration(time.Millisecond)
+	in.loop = ctrl.New(ctrl.Self{
+		ID: id, Domain: "d", Region: "r", Traffic: addr(sock), Peer: addr(sock), Start: clock.Now(), Count: 4,
+		Member: beat.Config(seeds, 50*ms, 100*ms, 300*ms), Dist: dist.DefaultConfig(4),
+	}, clock, boot.Clock{}, &executor{x: in.x})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _ = in.link.Run(ctx, sock) }()
+	go in.loop.Run(ctx)
+	go in.x.Run(ctx, in.loop)
+	t.Cleanup(func() {
+		cancel()
+		<-in.link.Done()
+		<-in.loop.Done()
+		<-in.x.Done()
+	})
+	return in
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	sock, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return sock
+}
+
+func addr(sock net.Listener) netip.AddrPort { return netip.MustParseAddrPort(sock.Addr().String()) }
+
+func (in *instance) sees(id ident.InstanceID, s member.State) func() bool {
+	return func() bool {
+		for _, r := range in.loop.Members() {
+			if r.ID == id {
+				return r.State == s
+			}
+		}
+		return false
+	}
+}
+
+// Guards against instances that do not find each other over a real link, or do not hear of a leave.
+func TestInstancesJoinAndLeave(t *testing.T) {
+	a, b, c := listen(t), listen(t), listen(t)
+	x := start(t, "a", a, addr(a))
+	y := start(t, "b", b, addr(a))
+	z := start(t, "c", c, addr(a))
+	within := func(ok func() bool) { require.Eventually(t, ok, 10*time.Second, 10*time.Millisecond) }
+	within(z.sees("b", member.StateAlive))
+	within(y.sees("c", member.StateAlive))
+	within(x.sees("c", member.StateAlive))
+	require.NoError(t, y.loop.Post(t.Context(), ctrl.LeaveAsked{}))
+	select {
+	case <-y.x.Departed():
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "leave was not announced")
+	}
+	within(x.sees("b", member.StateLeft))
+	within(z.sees("b", member.StateLeft))
+}
+
+// Guards against a heartbeat without a digest, which would make this instance compare with everyone.
+func TestPingNeedsDigest(t *testing.T) {
+	sock := listen(t)
+	in := start(t, "a", sock)
+	_, err := in.x.Ping(t.Context(), &wire.Ping{Sender: "b", Incarnation: 1})
+	require.ErrorContains(t, err, "digest is missing")
+	bad := "xyz"
+	_, err = in.x.Ping(t.Context(), &wire.Ping{Sender: "b", Incarnation: 1, Digest: &bad})
+	require.Error(t, err)
+}
--- a/goldcreststand/internal/cmd/daemon.go
+++ b/goldcreststand/internal/cmd/daemon.go
@@ -5,14 +5,15 @@
 	"expvar"
 	"math/rand/v2"
 	"net"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
 	"goldcreststand.example/core/dist"
-	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/route"
 	"goldcreststand.example/goldcreststand/internal/admin"
+	"goldcreststand.example/goldcreststand/internal/beat"
 	"goldcreststand.example/goldcreststand/internal/ctrl"
 	"goldcreststand.example/goldcreststand/internal/fetch"
 	"goldcreststand.example/goldcreststand/internal/peer"
@@ -25,9 +26,11 @@
 	"goldcreststand.example/lib/plat"
 	"goldcreststand.example/lib/stats"
 	"goldcreststand.example/schema/config"
-	"goldcreststand.example/schema/wire"
 )
 
+// leaveTimeout bounds the time in which other instances are told that this one leaves.
+const leaveTimeout = 2 * time.Second
+
 // daemon holds the parts of an instance.
 type daemon struct {
 	settings  *config.Settings
@@ -38,6 +41,7 @@
 	exchange  *fetch.Exchange
 	reports   *report.Exchange
 	prober    *prober.Prober
+	beats     *beat.Exchange
 	admission *proxy.Admission
 	traffic   *proxy.Handler
 }
@@ -52,9 +56,10 @@
 	d.prober = prober.New(clock)
 	d.link.ServeFetch(d.exchange)
 	d.link.ServeReport(d.reports)
-	d.link.ServePing(selfOnly{id: s.Name})
-	d.loop = ctrl.New(newSelf(s), clock, boot.Clock{}, &executor{
-		watcher: d.watcher, exchange: d.exchange, reports: d.reports, prober: d.prober,
+	d.beats = beat.New(d.link, s.Peer.Suspect.Std(), logs.Part(log, "member"))
+	d.link.ServePing(d.beats)
+	d.loop = ctrl.New(newSelf(s, clock.Now()), clock, boot.Clock{}, &executor{
+		watcher: d.watcher, exchange: d.exchange, reports: d.reports, prober: d.prober, beats: d.beats,
 	})
 	d.admission = proxy.NewAdmission(d.loop, route.Proportional{}, boot.Clock{})
 	metrics := stats.New()
@@ -77,7 +82,7 @@
 		return err
 	}
 	d.start(control, sock)
-	err = serveAll(ctx, []*listener{
+	err = serveAll(d.leaving(ctx, control), []*listener{
 		newListener("traffic", d.settings.Traffic.Address.String(), d.traffic),
 		newListener("admin", d.settings.Admin.Address.String(), admin.New(d.settings.Name, d.settings.Domain, d.loop)),
 	}, d.settings.Traffic.Drain.Std(), logs.Part(d.log, "serve"))
@@ -86,6 +91,26 @@
 	return err
 }
 
+// leaving returns a context that ends when ctx has ended and other instances know that this one leaves,
+// so that callers are sent elsewhere before the listeners close.
+func (d *daemon) leaving(ctx, control context.Context) context.Context {
+	left, stop := context.WithCancel(control)
+	context.AfterFunc(ctx, func() {
+		defer stop()
+		wait, cancel := context.WithTimeout(control, leaveTimeout)
+		defer cancel()
+		logs.Part(d.log, "serve").Infof("leaving")
+		if err := d.loop.Post(wait, ctrl.LeaveAsked{}); err != nil {
+			return
+		}
+		select {
+		case <-d.beats.Departed():
+		case <-wait.Done():
+		}
+	})
+	return left
+}
+
 // start runs each part in a goroutine of its own.
 func (d *daemon) start(ctx context.Context, sock net.Listener) {
 	log := logs.Part(d.log, "peer")
@@ -100,6 +125,7 @@
 	go d.exchange.Run(ctx, d.loop)
 	go d.reports.Run(ctx, d.loop)
 	go d.prober.Run(ctx, d.loop)
+	go d.beats.Run(ctx, d.loop)
 	go d.admission.Run(ctx, d.loop.Published())
 	go d.traffic.Run(ctx)
 }
@@ -107,33 +133,25 @@
 // wait returns when all parts have stopped.
 func (d *daemon) wait() {
 	for _, p := range []interface{ Done() <-chan struct{} }{
-		d.loop, d.watcher, d.exchange, d.reports, d.prober, d.link, d.admission, d.traffic,
+		d.loop, d.watcher, d.exchange, d.reports, d.prober, d.beats, d.link, d.admission, d.traffic,
 	} {
 		<-p.Done()
 	}
 }
 
 // newSelf returns what control knows of this instance from the settings.
-func newSelf(s *config.Settings) ctrl.Self {
+func newSelf(s *config.Settings, start time.Time) ctrl.Self {
 	cfg := dist.DefaultConfig(s.Place.Count)
 	cfg.Wait = s.Platform.Wait.Std()
 	return ctrl.Self{
 		ID: s.Name, Domain: s.Domain, Traffic: s.Traffic.Address, Count: s.Place.Count,
-		Probe: ctrl.ProbeBudget{Rate: s.Probe.Rate, Bytes: s.Probe.Bytes},
-		Dist:  cfg, Seed: rand.Uint64(),
+		Region: s.Region, Peer: s.Peer.Address, Start: start,
+		Member: beat.Config(s.Peer.Seeds, s.Peer.Interval, s.Peer.Suspect, s.Peer.Dead),
+		Probe:  ctrl.ProbeBudget{Rate: s.Probe.Rate, Bytes: s.Probe.Bytes},
+		Dist:   cfg, Seed: rand.Uint64(),
 	}
 }
 
-// selfOnly answers heartbeats for an instance that does not take part in membership yet.
-type selfOnly struct{ id ident.InstanceID }
-
-var _ peer.Pinger = selfOnly{}
-
-// Ping answers with the instance's identifier.
-func (s selfOnly) Ping(context.Context, *wire.Ping) (*wire.Pong, error) {
-	return &wire.Pong{Sender: s.id}, nil
-}
-
 // outcomeSink hands the outcomes of traffic to control.
 type outcomeSink struct {
 	loop *ctrl.Loop
--- a/goldcreststand/internal/cmd/executor.go
+++ b/goldcreststand/internal/cmd/executor.go
@@ -2,6 +2,8 @@
 
 import (
 	"goldcreststand.example/core/dist"
+	"goldcreststand.example/core/member"
+	"goldcreststand.example/goldcreststand/internal/beat"
 	"goldcreststand.example/goldcreststand/internal/ctrl"
 	"goldcreststand.example/goldcreststand/internal/fetch"
 	"goldcreststand.example/goldcreststand/internal/prober"
@@ -15,6 +17,7 @@
 	exchange *fetch.Exchange
 	reports  *report.Exchange
 	prober   *prober.Prober
+	beats    *beat.Exchange
 }
 
 var _ ctrl.Executor = (*executor)(nil)
@@ -30,6 +33,10 @@
 		x.reports.Send(a)
 	case ctrl.AskWarm:
 		x.reports.Ask(a)
+	case ctrl.SendPing:
+		x.beats.Do(a)
+	case member.Action:
+		x.beats.Note(a)
 	case ctrl.Probe:
 		x.prober.Do(a)
 	}
--- a/goldcreststand/internal/ctrl/events.go
+++ b/goldcreststand/internal/ctrl/events.go
@@ -1,6 +1,8 @@
 package ctrl
 
 import (
+	"slices"
+
 	"goldcreststand.example/core/roster"
 	"goldcreststand.example/core/route"
 	"goldcreststand.example/core/table"
@@ -47,4 +49,6 @@
 	return nil
 }
 
-func (tick) apply(st *state) []Action { return append(st.distTick(), st.tend()...) }
+func (tick) apply(st *state) []Action {
+	return slices.Concat(st.memberTick(), st.distTick(), st.tend())
+}
--- a/goldcreststand/internal/ctrl/loop.go
+++ b/goldcreststand/internal/ctrl/loop.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"goldcreststand.example/core/limit"
+	"goldcreststand.example/core/member"
 	"goldcreststand.example/core/route"
 )
 
@@ -51,6 +52,7 @@
 	// published holds a token after a snapshot was published.
 	published chan struct{}
 	snapshot  atomic.Pointer[route.Snapshot]
+	members   atomic.Pointer[[]member.Record]
 	state     *state
 }
 
@@ -78,6 +80,9 @@
 // Load returns the newest snapshot; it is never nil.
 func (l *Loop) Load() *route.Snapshot { return l.snapshot.Load() }
 
+// Members returns the known instances, this one included, in the order of their identifiers.
+func (l *Loop) Members() []member.Record { return *l.members.Load() }
+
 // Post hands an event to control and waits for room in its queue.
 func (l *Loop) Post(ctx context.Context, ev Event) error {
 	select {
@@ -139,6 +144,9 @@
 	s := l.state.snapshot()
 	s.ValidUntil = l.state.boot + validity
 	l.snapshot.Store(s)
+	// The field is replaced when a record changes; readers need the value of now.
+	records := l.state.members.records
+	l.members.Store(&records)
 	select {
 	case l.published <- struct{}{}:
 	default:
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -9,6 +9,7 @@
 	"goldcreststand.example/core/dist"
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/limit"
+	"goldcreststand.example/core/member"
 	"goldcreststand.example/core/place"
 	"goldcreststand.example/core/roster"
 	"goldcreststand.example/core/route"
@@ -20,6 +21,12 @@
 	ID      ident.InstanceID
 	Domain  ident.DomainName
 	Traffic netip.AddrPort
+	// Region, Peer and Start, the time at which the process started, are told to other instances.
+	Region ident.RegionName
+	Peer   netip.AddrPort
+	Start  time.Time
+	// Member sets the membership.
+	Member member.Config
 	// Count is the number of instances that serve a service.
 	Count int
 	// Probe is the budget of load measurement.
@@ -42,6 +49,7 @@
 	// peers holds the peer address of each known instance.
 	peers    map[ident.InstanceID]netip.AddrPort
 	services map[ident.ServiceName]*service
+	members  *members
 	dist     *dist.Core
 	// distNodes are the instances that dist knows of.
 	distNodes []place.Node
@@ -64,6 +72,7 @@
 		addresses: map[ident.InstanceID]netip.AddrPort{self.ID: self.Traffic},
 		peers:     make(map[ident.InstanceID]netip.AddrPort),
 		services:  make(map[ident.ServiceName]*service),
+		members:   newMembers(self),
 		dist:      dist.New(self.ID, self.Dist, rand.New(rand.NewPCG(self.Seed, 0))),
 	}
 }
