--- a/core/dist/config.go
+++ b/core/dist/config.go
@@ -29,9 +29,6 @@
 	PerWatch  time.Duration
 	MinSpread time.Duration
 	MaxSpread time.Duration
-	// Linger is the time for which an instance goes on watching after others have taken the role, because
-	// these may not know yet that they do not reach the platform.
-	Linger time.Duration
 	// ReachExpiry is the time for which an instance's word that it does not reach the platform holds.
 	ReachExpiry time.Duration
 	// FetchTimeout bounds a call of a peer.
@@ -60,7 +57,6 @@
 		PerWatch:     20 * time.Millisecond,
 		MinSpread:    500 * time.Millisecond,
 		MaxSpread:    2 * time.Second,
-		Linger:       5 * time.Second,
 		ReachExpiry:  30 * time.Second,
 		FetchTimeout: 500 * time.Millisecond,
 		CompareDelay: 2 * time.Second,
--- a/core/dist/core.go
+++ b/core/dist/core.go
@@ -55,8 +55,6 @@
 	serves, watches bool
 	// rank is the place of this instance among the watchers.
 	rank int
-	// until is the time until which the instance goes on watching after it lost the role.
-	until time.Time
 	// idle is the time since which the instance has had neither role.
 	idle  time.Time
 	watch *watch
@@ -65,7 +63,7 @@
 }
 
 // keeps reports whether the instance keeps the object.
-func (e *entry) keeps() bool { return e.serves || e.watches || e.watch != nil }
+func (e *entry) keeps() bool { return e.serves || e.watches }
 
 // New returns the core of an instance that knows nothing yet.
 func New(self ident.InstanceID, cfg Config, rng *rand.Rand) *Core {
@@ -224,9 +222,6 @@
 }
 
 func (c *Core) setRoles(e *entry, serves bool, rank int) {
-	if e.watches && rank < 0 {
-		e.until = c.now.Add(c.cfg.Linger)
-	}
 	if e.keeps() && !serves && rank < 0 {
 		e.idle = c.now
 	}
--- a/core/dist/watch.go
+++ b/core/dist/watch.go
@@ -27,7 +27,7 @@
 
 // stepWatch starts or ends the call for the object.
 func (c *Core) stepWatch(e *entry) {
-	if !e.watches && (e.watch == nil || e.watch.tag == "" || !c.now.Before(e.until)) {
+	if !e.watches {
 		c.endWatch(e)
 		return
 	}
@@ -43,7 +43,8 @@
 func (c *Core) startWatch(e *entry) {
 	w := e.watch
 	w.call, w.pending, w.since, w.wait = c.nextCall(), true, c.now, c.cfg.Wait
-	if w.tag == "" {
+	// A call that does not wait tells at once that the platform is back.
+	if w.tag == "" || c.reach.blind {
 		w.wait = 0
 	} else if c.short == nil {
 		c.short, w.wait = e, c.cfg.ShortWait
