goldload, demo: show in which seconds calls were not complete

Cause: the demo reported 10 % rejected calls without saying when. Change: -timeline prints the seconds in which a call did not get a complete response; the demo names the second at which each step starts. Ruled out: a log line per rejected call.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -58,7 +58,7 @@
 TOML
 }
 
-section() { printf '\n== %s\n' "$*"; }
+section() { printf '\n== %s (second %d of the load)\n' "$*" $((SECONDS - ${loaded:-SECONDS})); }
 
 ctl() { bin/goldctl "$@"; }
 
@@ -85,10 +85,11 @@
 ctl status -admin "$admin"
 
 section "load: inventory with bursts, dispatch, for 40 s in the background"
-bin/goldload run -strict -instances "$traffic" -service inventory -rate 600 -time 40s -every 4s -factor 3 -tenants coordinators,planners >"$dir/inventory.txt" 2>&1 &
+bin/goldload run -strict -timeline -instances "$traffic" -service inventory -rate 600 -time 40s -every 4s -factor 3 -tenants coordinators,planners >"$dir/inventory.txt" 2>&1 &
 load1=$!
-bin/goldload run -strict -instances "$traffic" -service dispatch -rate 200 -time 40s -writes 500 -tenants kiosks,receptionists >"$dir/dispatch.txt" 2>&1 &
+bin/goldload run -strict -timeline -instances "$traffic" -service dispatch -rate 200 -time 40s -writes 500 -tenants kiosks,receptionists >"$dir/dispatch.txt" 2>&1 &
 load2=$!
+loaded=$SECONDS
 sleep 3
 
 section "table edit"
--- a/goldload/internal/cmd/runcmd.go
+++ b/goldload/internal/cmd/runcmd.go
@@ -19,6 +19,7 @@
 	tenants   string
 	writes    uint
 	strict    bool
+	timeline  bool
 }
 
 func newRunCmd(cfg *Config) *cli.Command {
@@ -43,6 +44,7 @@
 	fs.DurationVar(&f.plan.Length, "length", 300*time.Millisecond, "length of a burst")
 	fs.IntVar(&f.plan.Factor, "factor", 3, "factor of the rate in a burst")
 	fs.Uint64Var(&f.plan.Seed, "seed", 1, "seed of the sequence of calls")
+	fs.BoolVar(&f.timeline, "timeline", false, "print the seconds in which a call did not get a complete response")
 	fs.BoolVar(&f.strict, "strict", false, "end with exit code 1 when a call got a wrong or broken response")
 }
 
@@ -69,6 +71,9 @@
 		return err
 	}
 	_, _ = fmt.Fprint(cfg.Out, r)
+	if f.timeline {
+		_, _ = fmt.Fprint(cfg.Out, r.Timeline())
+	}
 	if n := r.Count(load.VerdictWrong) + r.Count(load.VerdictBroken); f.strict && n > 0 {
 		return fmt.Errorf("%d calls got a wrong or broken response", n)
 	}
--- a/goldload/internal/load/report.go
+++ b/goldload/internal/load/report.go
@@ -46,9 +46,13 @@
 	Classes map[string]*Class
 	// Missed counts calls that were not made because too many were in flight already.
 	Missed int
+	// seconds counts the verdicts by the second since the start at which the calls were made.
+	seconds map[int]map[Verdict]int
 }
 
-func newReport() *Report { return &Report{Classes: make(map[string]*Class)} }
+func newReport() *Report {
+	return &Report{Classes: make(map[string]*Class), seconds: make(map[int]map[Verdict]int)}
+}
 
 // Count returns the number of calls with the verdict.
 func (r *Report) Count(v Verdict) int {
@@ -81,7 +85,31 @@
 	return b.String()
 }
 
-func (r *Report) add(class string, v Verdict, d time.Duration) {
+// Timeline returns a line for each second in which a call did not get a complete response.
+func (r *Report) Timeline() string {
+	var b strings.Builder
+	for _, n := range slices.Sorted(maps.Keys(r.seconds)) {
+		counts := r.seconds[n]
+		if len(counts) == 1 && counts[VerdictComplete] > 0 {
+			continue
+		}
+		fmt.Fprintf(&b, "second %d:", n)
+		for _, v := range VerdictValues() {
+			if counts[v] > 0 {
+				fmt.Fprintf(&b, " %d %s", counts[v], v)
+			}
+		}
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+func (r *Report) add(class string, v Verdict, at, d time.Duration) {
+	second := int(at / time.Second)
+	if r.seconds[second] == nil {
+		r.seconds[second] = make(map[Verdict]int)
+	}
+	r.seconds[second][v]++
 	c, ok := r.Classes[class]
 	if !ok {
 		c = &Class{Verdicts: make(map[Verdict]int), Latency: hdrhistogram.New(1, maxLatency.Microseconds(), 3)}
--- a/goldload/internal/load/runner.go
+++ b/goldload/internal/load/runner.go
@@ -35,6 +35,7 @@
 	rng  *rand.Rand
 	// slots bounds the calls in flight.
 	slots chan struct{}
+	start time.Time
 
 	mu     sync.Mutex
 	report *Report
@@ -75,12 +76,12 @@
 
 // generate starts calls at the plan's rate, in open loop: late responses do not delay later calls.
 func (r *runner) generate(ctx context.Context, wg *sync.WaitGroup) {
-	start := time.Now()
+	r.start = time.Now()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var due time.Duration
 	for n := 0; due < r.plan.Time; n++ {
-		timer.Reset(due - time.Since(start))
+		timer.Reset(due - time.Since(r.start))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -137,7 +138,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.report.add(class, verdict, time.Since(start))
+	r.report.add(class, verdict, start.Sub(r.start), time.Since(start))
 }
 
 func (r *runner) try(ctx context.Context, q request, address string, start time.Time) (Verdict, error) {
