core/health, core/canary, goldcreststand/ctrl: keep a bad version's share when the old version has trouble

Servers of the old version that got slower at once were compared with idle servers of the new one and ejected together; then no server of the old version took work, and the new one got all calls.

Change: servers are compared with busy servers of their version, by an average that follows a shared jump; at most half of the servers of each version are ejected; an old version without usable servers keeps its weight; calls whose latency was judged are counted apart, and the evidence for a stage counts them. A server is fresh for five calls, for 30 s at most, in place of 40 calls.

--- a/core/canary/counter.go
+++ b/core/canary/counter.go
@@ -28,7 +28,9 @@
 	Route    ident.RouteName
 	Calls    int
 	Failures int
-	Slow     int
+	// Timed is the number of calls whose latency was judged, and Slow that of the slow ones among them.
+	Timed int
+	Slow  int
 }
 
 type countKey struct {
@@ -63,35 +65,43 @@
 // add counts an outcome. Calls that were not executed say nothing about a version, because health
 // deals with servers that cannot be reached. A fresh server is slow for other reasons than its version.
 func (c *counter) add(o route.Outcome, fresh bool) {
-	if o.Version != c.move.From && o.Version != c.move.To {
-		return
-	}
-	failed := false
-	switch o.Result {
-	case route.ResultOK:
-	case route.ResultFailed, route.ResultBroken, route.ResultTimeout:
-		failed = true
-	case route.ResultShed, route.ResultRefused, route.ResultCanceled:
+	failed, executed := judge(o.Result)
+	if !executed || o.Version != c.move.From && o.Version != c.move.To {
 		return
 	}
 	r, q := c.route(o.Route)
-	slow := !failed && !fresh && q.slow(o.Latency)
-	if !failed && o.Version == c.move.From {
-		q.add(o.Latency)
-	}
 	n := c.count(countKey{o.Version, r})
 	n.Calls++
+	slow := false
 	if failed {
 		n.Failures++
+	} else if !fresh && q.known() {
+		n.Timed++
+		if slow = q.slow(o.Latency); slow {
+			n.Slow++
+		}
 	}
-	if slow {
-		n.Slow++
+	if !failed && o.Version == c.move.From {
+		q.add(o.Latency)
 	}
 	if o.Version == c.move.To && (failed || slow) {
 		c.suspect(o.Server, failed)
 	}
 }
 
+// judge reports whether a call failed, and whether it was executed as far as is known.
+func judge(r route.Result) (failed, executed bool) {
+	switch r {
+	case route.ResultOK:
+		return false, true
+	case route.ResultFailed, route.ResultBroken, route.ResultTimeout:
+		return true, true
+	case route.ResultShed, route.ResultRefused, route.ResultCanceled:
+		return false, false
+	}
+	return false, false
+}
+
 func (c *counter) suspect(id ident.ServerID, failed bool) {
 	s := c.suspects[id]
 	if s == nil {
--- a/core/canary/decide.go
+++ b/core/canary/decide.go
@@ -116,7 +116,7 @@
 		return false
 	}
 	e := r.evidence
-	if e.newCalls >= needCalls(r.stage()) {
+	if e.newTimed >= needCalls(r.stage()) {
 		return true
 	}
 	if in < allotment || v >= math.Log(doubt) {
--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -64,6 +64,8 @@
 	suspects map[ident.InstanceID][]Suspect
 	// newCalls and allCalls count since the beginning of the stage.
 	newCalls, allCalls int
+	// newTimed counts those of the new version whose latency was judged.
+	newTimed int
 }
 
 func newEvidence(m table.Move) *evidence {
@@ -105,14 +107,16 @@
 	out := make(map[scope]*sample)
 	for _, c := range counts {
 		l := last[countKey{c.Version, c.Route}]
-		calls, failures, slow := c.Calls-l.Calls, max(0, c.Failures-l.Failures), max(0, c.Slow-l.Slow)
+		calls, timed := c.Calls-l.Calls, max(0, c.Timed-l.Timed)
+		failures, slow := max(0, c.Failures-l.Failures), max(0, c.Slow-l.Slow)
 		e.allCalls += calls
 		if c.Version == e.move.To {
 			e.newCalls += calls
+			e.newTimed += timed
 		}
 		for _, r := range []ident.RouteName{"", c.Route} {
 			e.sum(out, scope{r, metricFailures}, c.Version, calls, min(failures, calls))
-			e.sum(out, scope{r, metricSlow}, c.Version, calls, min(slow, calls))
+			e.sum(out, scope{r, metricSlow}, c.Version, timed, min(slow, timed))
 		}
 	}
 	return out
@@ -244,7 +248,7 @@
 }
 
 // newStage starts the counts of a stage.
-func (e *evidence) newStage() { e.newCalls, e.allCalls = 0, 0 }
+func (e *evidence) newStage() { e.newCalls, e.allCalls, e.newTimed = 0, 0, 0 }
 
 func sortedScopes[V any](m map[scope]V) []scope {
 	out := make([]scope, 0, len(m))
--- a/core/canary/measure_test.go
+++ b/core/canary/measure_test.go
@@ -32,6 +32,7 @@
 		{name: "2 % fail", bad: constant(0.02, 1)},
 		{name: "twice as slow", bad: constant(0, 2)},
 		{name: "four times as slow", bad: constant(0, 4)},
+		{name: "four times as slow, 12 servers", servers: 12, bad: constant(0, 4)},
 		{name: "30 % fail after 60 s", bad: func(in time.Duration, _ float64, _, _ int) (float64, float64) {
 			return map[bool]float64{true: 0.3}[in > time.Minute], 1
 		}},
--- a/core/canary/quantile.go
+++ b/core/canary/quantile.go
@@ -42,11 +42,11 @@
 	}
 }
 
-// slow reports whether a call is slower than the threshold. It is false while that is unknown.
+// known reports whether there is a threshold yet.
+func (q *quantile) known() bool { return q.calls >= quantileCalls }
+
+// slow reports whether a call is slower than the threshold.
 func (q *quantile) slow(d time.Duration) bool {
-	if q.calls < quantileCalls {
-		return false
-	}
 	base := time.Duration(math.Exp(q.log) * float64(time.Second))
 	return d > max(time.Duration(slowFactor*float64(base)), base+slowGap)
 }
--- a/core/canary/sim_test.go
+++ b/core/canary/sim_test.go
@@ -19,7 +19,7 @@
 
 var (
 	simRoutes  = []ident.RouteName{"r0", "r1", "r2", "r3"}
-	simServers = []ident.ServerID{"new0", "new1", "new2", "new3"}
+	simServers = []ident.ServerID{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"}
 )
 
 var simStart = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
@@ -64,6 +64,10 @@
 	// fails counts the consecutive failures that each instance saw at each server: health keeps work
 	// from a server after five.
 	fails [simNodes]map[int]int
+	// served counts the calls that each instance sent to each server since first; five of them are fresh at
+	// most, for 30 s.
+	first  [simNodes]map[int]time.Time
+	served [simNodes]map[int]int
 }
 
 func newSim(k kind, rate float64, deadline time.Duration, seed uint64) *sim {
@@ -77,7 +81,7 @@
 		r := canary.New("s", ident.InstanceID(fmt.Sprintf("i%d", i)), s.now.Add(-time.Minute))
 		r.SetMove(m, s.now)
 		s.nodes = append(s.nodes, r)
-		s.fails[i] = make(map[int]int)
+		s.fails[i], s.served[i], s.first[i] = make(map[int]int), make(map[int]int), make(map[int]time.Time)
 	}
 	return s
 }
@@ -144,10 +148,7 @@
 		s.calls++
 		if s.rng.Float64() < float64(share)/1000 {
 			o.Version = "v2"
-			srv = s.rng.IntN(s.kind.servers)
-			if s.fails[i][srv] >= 5 {
-				srv = (srv + 1) % s.kind.servers
-			}
+			srv = s.server(i)
 			o.Server = simServers[srv]
 			f, x := s.kind.bad(s.in(), float64(share)/1000, rt, srv)
 			fail, slow = max(f, fail), slow*x
@@ -165,8 +166,27 @@
 		if o.Version == "v2" && (o.Result != route.ResultOK || slow > 1.9 && !s.kind.burst) {
 			s.hit++
 		}
-		r.Observe(o, false, s.now)
+		r.Observe(o, srv >= 0 && s.fresh(i, srv), s.now)
+	}
+}
+
+// server draws a server of the new version: each instance has slots at a part of them, which overlap by half.
+func (s *sim) server(i int) int {
+	n := max(2, s.kind.servers/2)
+	srv := (i*s.kind.servers/simNodes + s.rng.IntN(n)) % s.kind.servers
+	if s.fails[i][srv] >= 5 {
+		srv = (srv + 1) % s.kind.servers
+	}
+	return srv
+}
+
+// fresh counts a call at a server and reports whether health would call the server fresh.
+func (s *sim) fresh(i, srv int) bool {
+	s.served[i][srv]++
+	if s.served[i][srv] == 1 {
+		s.first[i][srv] = s.now
 	}
+	return s.served[i][srv] <= 5 && s.now.Sub(s.first[i][srv]) < 30*time.Second
 }
 
 // route draws one of four routes with 70, 20, 8 and 2 % of the calls.
--- a/core/health/eject.go
+++ b/core/health/eject.go
@@ -6,12 +6,12 @@
 	"goldcreststand.example/core/ident"
 )
 
-// eject keeps new work from the server for a time, unless half of the instance's servers are ejected already: then
+// eject keeps new work from the server for a time, unless half of the instance's servers of the version are ejected already: then
 // it keeps one call in flight.
 func (t *Tracker) eject(s *server, now time.Time) {
 	cold := s.state == StateWarming
 	s.enter(StateEjected, now)
-	if ejected, total := t.Ejected(); ejected > total/2 {
+	if t.tooMany(s.spec.Version) {
 		if cold {
 			s.cold(now)
 			return
@@ -34,21 +34,23 @@
 // boundEjections re-admits the servers that were to come back soonest, when servers that left
 // have made the ejected ones more than half.
 func (t *Tracker) boundEjections(now time.Time) {
-	for {
-		ejected, total := t.Ejected()
-		if ejected <= total/2 {
-			return
-		}
-		var next *server
-		for _, id := range t.ids {
-			if s := t.servers[id]; s.ranked && s.state == StateEjected && (next == nil || s.until.Before(next.until)) {
-				next = s
-			}
-		}
+	for next := t.excess(); next != nil; next = t.excess() {
 		next.cold(now)
 	}
 }
 
+// excess returns the server that is to come back soonest of a version with too many ejected servers, or nil.
+func (t *Tracker) excess() *server {
+	var next *server
+	for _, id := range t.ids {
+		s := t.servers[id]
+		if s.ranked && s.state == StateEjected && (next == nil || s.until.Before(next.until)) && t.tooMany(s.spec.Version) {
+			next = s
+		}
+	}
+	return next
+}
+
 // judgeDomain reports whether the failure domain fails as a whole: three quarters of its servers, two
 // at least, were ejected in a short time, while less than half of the servers elsewhere are ejected.
 // Its servers then keep their base ejection, because the fault is not theirs, until a good call at one
--- a/core/health/observe.go
+++ b/core/health/observe.go
@@ -27,7 +27,7 @@
 			s.reported, s.reportedUntil = o.Slots, now.Add(reportLifetime)
 		}
 		if medians == nil {
-			medians = t.medians()
+			medians = t.medians(now)
 		}
 		t.observe(s, o, medians[o.Server], now)
 	}
@@ -35,6 +35,9 @@
 
 // observe takes one outcome. ref is the median latency of the server's peers in seconds, or 0.
 func (t *Tracker) observe(s *server, o route.Outcome, ref float64, now time.Time) {
+	if s.calls == 0 {
+		s.firstCall = now
+	}
 	s.calls++
 	s.judged++
 	if o.Result != route.ResultOK {
@@ -154,33 +157,42 @@
 	}
 }
 
-// medians returns for each server the median latency of the other active servers in seconds.
-func (t *Tracker) medians() map[ident.ServerID]float64 {
-	var vs []float64
+// medians returns for each server the median latency of the other active servers of its version that have
+// had calls lately, in seconds. Idle servers and those of other versions do not show what the service's load
+// does to latency.
+func (t *Tracker) medians(now time.Time) map[ident.ServerID]float64 {
+	peers := make(map[ident.VersionName][]float64)
 	for _, id := range t.ids {
-		if s := t.servers[id]; s.state == StateActive && s.mean > 0 {
-			vs = append(vs, s.mean)
+		if s := t.servers[id]; s.peer(now) {
+			peers[s.spec.Version] = append(peers[s.spec.Version], s.quick)
 		}
 	}
-	slices.Sort(vs)
+	for _, vs := range peers {
+		slices.Sort(vs)
+	}
 	out := make(map[ident.ServerID]float64, len(t.ids))
 	for _, id := range t.ids {
 		s := t.servers[id]
-		if s.state != StateActive || s.mean == 0 {
-			if len(vs) > 0 {
-				out[id] = vs[(len(vs)-1)/2]
-			}
-			continue
+		vs := peers[s.spec.Version]
+		n, own := len(vs), len(vs)
+		if s.peer(now) {
+			n--
+			own, _ = slices.BinarySearch(vs, s.quick)
 		}
-		if len(vs) < 2 {
+		if n == 0 {
 			continue
 		}
 		// The median of the others skips the server's own value.
-		mid := (len(vs) - 2) / 2
-		if own, _ := slices.BinarySearch(vs, s.mean); own <= mid {
+		mid := (n - 1) / 2
+		if own <= mid {
 			mid++
 		}
 		out[id] = vs[mid]
 	}
 	return out
 }
+
+// peer reports whether other servers are compared with this one.
+func (s *server) peer(now time.Time) bool {
+	return s.state == StateActive && s.quick > 0 && now.Sub(s.lastCall) <= recentCalls
+}
--- a/core/health/server.go
+++ b/core/health/server.go
@@ -17,12 +17,14 @@
 	listLeaving bool
 
 	// Warm-up.
-	limit  ident.Slots
-	good   int
-	calls  int
-	rank   int
-	first  ident.InstanceID
-	ranked bool
+	limit ident.Slots
+	good  int
+	calls int
+	// firstCall is the time of the first outcome in this life.
+	firstCall time.Time
+	rank      int
+	first     ident.InstanceID
+	ranked    bool
 	// firstSince is the time since which this instance is the first in the placement order.
 	firstSince time.Time
 	joined     bool
@@ -37,8 +39,10 @@
 	ejections  int
 	until      time.Time
 
-	// Latency in seconds: mean is the recent moving average, base the long-term one.
+	// Latency in seconds: mean is the recent moving average, quick that of the last few calls and base the
+	// long-term one.
 	mean    float64
+	quick   float64
 	base    float64
 	slowRun int
 
@@ -54,10 +58,10 @@
 func (s *server) cold(now time.Time) {
 	s.enter(StateWarming, now)
 	s.limit, s.good, s.calls = 1, 0, 0
-	s.joined = false
+	s.joined, s.firstCall = false, time.Time{}
 	s.asked = time.Time{}
 	s.fails, s.probeFails, s.failRate, s.judged = 0, 0, 0, 0
-	s.mean, s.slowRun = 0, 0
+	s.mean, s.quick, s.slowRun = 0, 0, 0
 }
 
 func (s *server) enter(st State, now time.Time) {
@@ -116,8 +120,9 @@
 func (s *server) measure(latency time.Duration) {
 	v := latency.Seconds()
 	if s.mean == 0 {
-		s.mean = v
+		s.mean, s.quick = v, v
 	}
+	s.quick += quickSmoothing * (v - s.quick)
 	s.mean += smoothing * (v - s.mean)
 	if s.state != StateActive {
 		return
@@ -128,6 +133,11 @@
 	s.base += baseSmoothing * (v - s.base)
 }
 
+// fresh reports whether the server has had so few calls that their latency says little.
+func (s *server) fresh(now time.Time) bool {
+	return s.calls < freshCalls && (s.calls == 0 || now.Sub(s.firstCall) < freshTime)
+}
+
 // above reports whether v is far above ref, both in seconds. No reference proves nothing.
 func above(v, ref, factor float64) bool {
 	return ref > 0 && v > factor*ref && v-ref > minGap.Seconds()
--- a/core/health/settings.go
+++ b/core/health/settings.go
@@ -24,6 +24,11 @@
 	minJudged = 10
 	// smoothing is the weight of the newest value in a moving average.
 	smoothing = 0.1
+	// quickSmoothing is the weight of the newest value in the average that peers are compared with. It
+	// follows a jump that all servers share within few calls, so that no server is blamed for it.
+	quickSmoothing = 0.3
+	// recentCalls is the time since its last call for which a server is a peer to compare with.
+	recentCalls = 5 * time.Second
 	// baseSmoothing is the weight of the newest value in the long-term latency of a server.
 	baseSmoothing = 0.01
 	// coldFactor is the ratio of a call's latency to the server's long-term latency that marks the call
@@ -57,6 +62,8 @@
 	// domainWindow is the time in which the servers of a failure domain fail together, when the domain
 	// and not the servers is at fault.
 	domainWindow = 10 * time.Second
-	// freshCalls is the number of calls in a server's life whose latency says little about its version.
-	freshCalls = 40
+	// freshCalls is the number of first calls in a server's life whose latency says little about its version,
+	// unless they are spread over more than freshTime.
+	freshCalls = 5
+	freshTime  = 30 * time.Second
 )
--- a/core/health/tracker_test.go
+++ b/core/health/tracker_test.go
@@ -219,6 +219,37 @@
 	}
 }
 
+// Guards against the loss of a whole version: busy servers that all got slower at once were compared with idle
+// ones of the other version and ejected together.
+func TestVersionIsNotEjected(t *testing.T) {
+	for _, result := range []route.Result{route.ResultOK, route.ResultFailed} {
+		s := newSolo(12)
+		for i := range s.l.Servers {
+			s.l.Servers[i].Version = []ident.VersionName{"v1", "v2"}[i/6]
+		}
+		s.SetListing(s.l, s.now)
+		for range 60 {
+			for _, srv := range s.l.Servers[:6] {
+				s.calls(srv.ID, 1, result, 200*time.Millisecond)
+			}
+		}
+		usable, active := 0, 0
+		for _, srv := range s.l.Servers[:6] {
+			v := s.Verdict(srv.ID, s.now)
+			if v.Limit > 0 {
+				usable++
+			}
+			if v.Limit == 4 {
+				active++
+			}
+		}
+		require.GreaterOrEqual(t, usable, 3)
+		if result == route.ResultOK {
+			require.Equal(t, 6, active)
+		}
+	}
+}
+
 // Guards against a failure domain whose servers wait for their own long ejections to end after the
 // domain has come back.
 func TestFailureDomainFailsAndReturns(t *testing.T) {
--- a/core/health/verdict.go
+++ b/core/health/verdict.go
@@ -31,7 +31,7 @@
 		return Verdict{State: StateEjected}
 	}
 	v := Verdict{
-		State: s.state, Limit: t.limit(s, now), Fresh: s.calls < freshCalls,
+		State: s.state, Limit: t.limit(s, now), Fresh: s.fresh(now),
 		LastCall: s.lastCall, LastProbe: s.lastProbe,
 		First: s.ranked && s.rank == 0, FirstSince: s.firstSince,
 	}
@@ -66,9 +66,13 @@
 // those at which this instance has slots. When instances have slots at different servers, a bound over all
 // servers would let each of them eject all of its own.
 func (t *Tracker) Ejected() (ejected, total int) {
+	return t.ejected(func(*server) bool { return true })
+}
+
+func (t *Tracker) ejected(of func(*server) bool) (ejected, total int) {
 	for _, id := range t.ids {
 		s := t.servers[id]
-		if !s.ranked {
+		if !s.ranked || !of(s) {
 			continue
 		}
 		switch s.state {
@@ -82,3 +86,10 @@
 	}
 	return ejected, total
 }
+
+// tooMany reports whether more than half of the servers of the version are ejected. A bound over all
+// versions would allow the loss of a version, whose calls another one would have to take.
+func (t *Tracker) tooMany(v ident.VersionName) bool {
+	ejected, total := t.ejected(func(s *server) bool { return s.spec.Version == v })
+	return ejected > total/2
+}
--- a/goldcreststand/internal/ctrl/care.go
+++ b/goldcreststand/internal/ctrl/care.go
@@ -110,6 +110,18 @@
 	return ident.Weight(uint64(row) * uint64(share) / uint64(route.DefaultWeight))
 }
 
+// keepOld adds the old version of a rollout when it has listed servers but none that takes work now. Its calls
+// wait or are rejected; otherwise the new version would get them all, whatever its share is.
+func (s *service) keepOld(out *route.Service) {
+	m := s.care.rollout.Move()
+	if m == nil {
+		return
+	}
+	if w := s.weight(m.From); w > 0 && out.Version(m.From) == nil && s.serves(m.From) {
+		out.Versions = append(out.Versions, route.Version{Name: m.From, Weight: w})
+	}
+}
+
 // serves reports whether the version has a listed server that is not leaving.
 func (s *service) serves(v ident.VersionName) bool {
 	return slices.ContainsFunc(s.listing.Servers, func(b roster.Server) bool { return b.Version == v && !b.Leaving })
--- a/goldcreststand/internal/ctrl/care_test.go
+++ b/goldcreststand/internal/ctrl/care_test.go
@@ -121,6 +121,16 @@
 	}
 }
 
+// Guards against a new version that gets all calls when no server of the old one takes work.
+func TestOldVersionKeepsItsShare(t *testing.T) {
+	st := rollout()
+	for _, id := range []ident.ServerID{"s0", "s2", "s4"} {
+		Probed{Service: "svc", Report: health.Report{Server: id, Draining: true}}.apply(st)
+	}
+	pass(st, 200*time.Millisecond)
+	require.Equal(t, map[ident.VersionName]ident.Weight{"v1": 990, "v2": 10}, weights(st))
+}
+
 // Guards against a paused instance that acts on its old rollout status, and against one that does not
 // learn the newer status from a peer.
 func TestResumedInstanceWithholdsNewVersion(t *testing.T) {
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -109,6 +109,7 @@
 		}
 	}
 	out.Group(s.weight)
+	s.keepOld(out)
 	return out
 }
 
--- a/schema/wire/report.go
+++ b/schema/wire/report.go
@@ -13,7 +13,7 @@
 		Counts: make([]Count, len(r.Counts)), Suspects: make([]Suspect, len(r.Suspects)),
 	}
 	for i, c := range r.Counts {
-		out.Counts[i] = Count{Version: c.Version, Route: c.Route, Calls: c.Calls, Failures: c.Failures, Slow: c.Slow}
+		out.Counts[i] = Count{Version: c.Version, Route: c.Route, Calls: c.Calls, Failures: c.Failures, Timed: c.Timed, Slow: c.Slow}
 	}
 	for i, s := range r.Suspects {
 		out.Suspects[i] = Suspect{Server: s.Server, Failures: s.Failures, Slow: s.Slow}
@@ -32,7 +32,7 @@
 		Counts: make([]canary.Count, len(j.Counts)), Suspects: make([]canary.Suspect, len(j.Suspects)),
 	}
 	for i, c := range j.Counts {
-		out.Counts[i] = canary.Count{Version: c.Version, Route: c.Route, Calls: c.Calls, Failures: c.Failures, Slow: c.Slow}
+		out.Counts[i] = canary.Count{Version: c.Version, Route: c.Route, Calls: c.Calls, Failures: c.Failures, Timed: c.Timed, Slow: c.Slow}
 	}
 	for i, s := range j.Suspects {
 		out.Suspects[i] = canary.Suspect{Server: s.Server, Failures: s.Failures, Slow: s.Slow}
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -24,9 +24,12 @@
 	// Route of the calls.
 	Route ident.RouteName `json:"route"`
 
-	// Calls slower than the slow threshold.
+	// Calls slower than the slow threshold, out of those judged.
 	Slow int `json:"slow"`
 
+	// Calls whose latency was judged.
+	Timed int `json:"timed"`
+
 	// Version of the backend servers.
 	Version ident.VersionName `json:"version"`
 }
@@ -49,6 +52,9 @@
 	if _, ok := raw["slow"]; raw != nil && !ok {
 		return fmt.Errorf("field slow in Count: required")
 	}
+	if _, ok := raw["timed"]; raw != nil && !ok {
+		return fmt.Errorf("field timed in Count: required")
+	}
 	if _, ok := raw["version"]; raw != nil && !ok {
 		return fmt.Errorf("field version in Count: required")
 	}
@@ -66,6 +72,9 @@
 	if 0 > plain.Slow {
 		return fmt.Errorf("field %s: must be >= %v", "slow", 0)
 	}
+	if 0 > plain.Timed {
+		return fmt.Errorf("field %s: must be >= %v", "timed", 0)
+	}
 	*j = Count(plain)
 	return nil
 }
