--- a/core/dist/peer.go
+++ b/core/dist/peer.go
@@ -151,11 +151,17 @@
 // reply returns what the request asks for and this instance has.
 func (c *Core) reply(r Request) Reply {
 	var out Reply
+	rows := 0
 	for _, h := range r.Want[:min(MaxWant, len(r.Want))] {
 		e, ok := c.entries[h.Key]
-		if ok && e.object != nil && (e.object.Revision > h.Revision || h.Revision == 0) {
-			out.Objects = append(out.Objects, *e.object)
+		if !ok || e.object == nil || (e.object.Revision <= h.Revision && h.Revision > 0) {
+			continue
+		}
+		// What is left out is asked for again.
+		if rows += e.object.rows(); rows > maxRows && len(out.Objects) > 0 {
+			break
 		}
+		out.Objects = append(out.Objects, *e.object)
 	}
 	if len(r.Buckets) != Buckets {
 		return out
@@ -163,6 +169,9 @@
 	for _, e := range c.list {
 		_, b := hash(e.key, e.known)
 		shared := e.known > 0 || e.key.Kind == KindTable
+		if len(out.Held) == maxHeld {
+			break
+		}
 		if shared && (e.key.Kind == KindReach || c.buckets[b] != r.Buckets[b]) {
 			out.Held = append(out.Held, Held{Key: e.key, Revision: e.known})
 		}
@@ -172,7 +181,11 @@
 
 func (ev Fetched) apply(c *Core) {
 	for _, h := range ev.Reply.Held {
-		c.learn(h, ev.From)
+		if c.learn(h, ev.From) {
+			// Most others know it already; whoever does not compares too.
+			e := c.entries[h.Key]
+			e.sends = min(e.sends, comparedSends)
+		}
 	}
 	for _, o := range ev.Reply.Objects {
 		c.adopt(o, ev.From)
@@ -184,7 +197,7 @@
 	if f.compare {
 		c.compare.done, c.compare.fails = true, 0
 	}
-	c.endFetch(ev.Call, f, c.cfg.Cap)
+	c.endFetch(ev.Call, f)
 }
 
 func (ev FetchFailed) apply(c *Core) {
@@ -202,12 +215,12 @@
 		n.at = c.now.Add(c.jitter(c.cfg.Base))
 		c.notices = append(c.notices, *n)
 	}
-	c.endFetch(call, f, c.cfg.Base)
+	c.endFetch(call, f)
 }
 
-// endFetch forgets the call. What it did not bring is asked of another peer after a delay up to the
-// limit, which is short after a loss, because the next peer may well have the object.
-func (c *Core) endFetch(call Call, f *fetch, limit time.Duration) {
+// endFetch forgets the call. What it did not bring is asked of another peer, which may well have it; the
+// delay grows only after several tries.
+func (c *Core) endFetch(call Call, f *fetch) {
 	delete(c.calls, call)
 	if f.compare {
 		c.compare.pending = false
@@ -220,7 +233,7 @@
 		e.ask.call = 0
 		if c.lags(e) {
 			e.ask.tries++
-			e.ask.at = c.now.Add(c.backoff(e.ask.tries, limit))
+			e.ask.at = c.now.Add(c.backoff(max(1, e.ask.tries-fastTries), c.cfg.Cap))
 		}
 	}
 }
--- a/core/route/version.go
+++ b/core/route/version.go
@@ -67,20 +67,33 @@
 	return nil
 }
 
+// Without returns the service without the servers that the function names, for a further try of a call.
+func (s *Service) Without(tried func(*Server) bool) *Service {
+	out := *s
+	out.Servers = slices.DeleteFunc(slices.Clone(s.Servers), tried)
+	out.Versions = make([]Version, 0, len(s.Versions))
+	for _, v := range s.Versions {
+		v.Servers = slices.DeleteFunc(slices.Clone(v.Servers), tried)
+		if len(v.Servers) > 0 {
+			out.Versions = append(out.Versions, v)
+		}
+	}
+	return &out
+}
+
 // Group sets Versions from Servers; weight gives the weight of a version. Servers are sorted by
-// version and id.
+// version and id; those of a version without weight are removed.
 func (s *Service) Group(weight func(ident.VersionName) ident.Weight) {
 	slices.SortFunc(s.Servers, func(a, b *Server) int {
 		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.ID, b.ID))
 	})
+	s.Servers = slices.DeleteFunc(s.Servers, func(srv *Server) bool { return weight(srv.Version) == 0 })
 	s.Versions = nil
 	for i := 0; i < len(s.Servers); {
 		name, from := s.Servers[i].Version, i
 		for i < len(s.Servers) && s.Servers[i].Version == name {
 			i++
 		}
-		if w := weight(name); w > 0 {
-			s.Versions = append(s.Versions, Version{Name: name, Weight: w, Servers: s.Servers[from:i:i]})
-		}
+		s.Versions = append(s.Versions, Version{Name: name, Weight: weight(name), Servers: s.Servers[from:i:i]})
 	}
 }
--- a/goldcreststand/internal/cmd/listener.go
+++ b/goldcreststand/internal/cmd/listener.go
@@ -10,12 +10,20 @@
 	"github.com/zeebo/errs"
 )
 
+// headerTimeout bounds the time in which a request's headers must arrive.
+const headerTimeout = 10 * time.Second
+
 // listener is one HTTP server of the daemon.
 type listener struct {
 	name string
 	srv  *http.Server
 }
 
+// newListener returns a listener that has not started.
+func newListener(name, address string, h http.Handler) *listener {
+	return &listener{name: name, srv: &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout}}
+}
+
 type infoLog interface {
 	Infof(format string, args ...any)
 }
