--- a/goldcreststand/internal/ctrl/loop.go
+++ b/goldcreststand/internal/ctrl/loop.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"goldcreststand.example/core/limit"
+	"goldcreststand.example/core/member"
 	"goldcreststand.example/core/route"
 )
 
@@ -51,6 +52,7 @@
 	// published holds a token after a snapshot was published.
 	published chan struct{}
 	snapshot  atomic.Pointer[route.Snapshot]
+	members   atomic.Pointer[[]member.Record]
 	state     *state
 }
 
@@ -78,6 +80,9 @@
 // Load returns the newest snapshot; it is never nil.
 func (l *Loop) Load() *route.Snapshot { return l.snapshot.Load() }
 
+// Members returns the known instances, this one included, in the order of their identifiers.
+func (l *Loop) Members() []member.Record { return *l.members.Load() }
+
 // Post hands an event to control and waits for room in its queue.
 func (l *Loop) Post(ctx context.Context, ev Event) error {
 	select {
@@ -124,21 +129,39 @@
 	if l.elapsed.Elapsed() > l.snapshot.Load().ValidUntil {
 		l.state.resume()
 	}
-	actions := ev.apply(l.state)
+	actions, urgent := ev.apply(l.state), isUrgent(ev)
 	for range len(l.events) {
-		actions = append(actions, (<-l.events).apply(l.state)...)
+		ev := <-l.events
+		actions = append(actions, ev.apply(l.state)...)
+		urgent = urgent || isUrgent(ev)
+	}
+	if urgent {
+		l.publish()
 	}
-	l.publish()
 	for _, a := range actions {
 		l.exec.Do(a)
 	}
 }
 
+// isUrgent reports whether a snapshot is published at once after the event. Measurements wait for the next
+// tick: traffic reports them up to fifty times per second, and every publication costs control time.
+func isUrgent(ev Event) bool {
+	switch ev.(type) {
+	case OutcomesSeen, Probed:
+		return false
+	default:
+		return true
+	}
+}
+
 func (l *Loop) publish() {
 	l.state.boot = l.elapsed.Elapsed()
 	s := l.state.snapshot()
 	s.ValidUntil = l.state.boot + validity
 	l.snapshot.Store(s)
+	// The field is replaced when a record changes; readers need the value of now.
+	records := l.state.members.records
+	l.members.Store(&records)
 	select {
 	case l.published <- struct{}{}:
 	default:
--- a/goldload/internal/model/compare.go
+++ b/goldload/internal/model/compare.go
@@ -137,6 +137,7 @@
 			{load: 0.5, faults: []Fault{Restart{Count: 3}}},
 			{load: 0.5, faults: []Fault{Restart{Count: 4}}},
 			{load: 0.5, faults: []Fault{DomainOut{}}},
+			{load: 0.65, faults: []Fault{DomainOut{}}},
 			{load: 0.5, faults: []Fault{RowOut{}}},
 			{load: 0.65, faults: []Fault{RowOut{}}},
 		},
