goldcreststand: not ready before the table of a served service is known

Ruled out: no time limit (a table without an instance list would keep its instances unready for ever).

--- a/goldcreststand/internal/ctrl/shares.go
+++ b/goldcreststand/internal/ctrl/shares.go
@@ -46,9 +46,7 @@
 		servers = s.listing.Servers
 	}
 	sh.plan = sh.splitter.Split(s.table.Service, limit.Caps(s.table, servers), serving)
-	maps.DeleteFunc(sh.since, func(id ident.InstanceID, _ time.Duration) bool {
-		return !slices.ContainsFunc(serving, func(n place.Node) bool { return n.ID == id })
-	})
+	maps.DeleteFunc(sh.since, func(id ident.InstanceID, _ time.Duration) bool { return !contains(serving, id) })
 	for _, n := range serving {
 		if _, ok := sh.since[n.ID]; !ok {
 			sh.since[n.ID] = now
@@ -82,6 +80,10 @@
 	return len(due) > 0
 }
 
+func contains(nodes []place.Node, id ident.InstanceID) bool {
+	return slices.ContainsFunc(nodes, func(n place.Node) bool { return n.ID == id })
+}
+
 // entries returns the traffic addresses of the nodes.
 func (st *state) entries(nodes []place.Node) []netip.AddrPort {
 	out := make([]netip.AddrPort, len(nodes))
--- a/goldcreststand/internal/ctrl/shares_test.go
+++ b/goldcreststand/internal/ctrl/shares_test.go
@@ -118,3 +118,18 @@
 		require.Positive(t, all)
 	}
 }
+
+// Guards against an instance that counts as ready before it has the table of a service that it serves,
+// and against one that never does because the platform has none.
+func TestJoiningWithoutTable(t *testing.T) {
+	fleet := fleetOf(4, listing(4, 4), &table.Table{Service: "svc", Revision: 1})
+	for _, st := range fleet {
+		st.services["svc"].table = nil
+	}
+	for _, s := range slotsAt(fleet, time.Second, 2*time.Second) {
+		require.True(t, s.Joining)
+	}
+	for _, s := range slotsAt(fleet, 3*time.Second, time.Second+startLimit) {
+		require.False(t, s.Joining)
+	}
+}
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -37,13 +37,19 @@
 	Seed uint64
 }
 
+// startLimit is the longest time after its start for which an instance counts as joining a service whose
+// table or list it lacks. The platform may not have them.
+const startLimit = 2 * limit.TakeDelay
+
 // state is all control state. Only the control goroutine touches it.
 type state struct {
 	self Self
 	now  time.Time
 	// boot is the boot-time clock's reading, which runs during a pause.
-	boot  time.Duration
-	nodes []place.Node
+	boot time.Duration
+	// started is the first reading of it.
+	started time.Duration
+	nodes   []place.Node
 	// addresses holds the traffic address of each known instance.
 	addresses map[ident.InstanceID]netip.AddrPort
 	// peers holds the peer address of each known instance.
@@ -97,6 +103,9 @@
 
 // snapshot builds what traffic may know.
 func (st *state) snapshot() *route.Snapshot {
+	if st.started == 0 {
+		st.started = st.boot
+	}
 	if !slices.Equal(st.placedFor, st.nodes) {
 		st.placedFor = slices.Clone(st.nodes)
 		for _, s := range st.services {
@@ -114,7 +123,9 @@
 	out := &route.Service{Name: n}
 	if s.table == nil || s.listing == nil {
 		// Without them this instance passes calls on to others that serve the service.
-		out.Entries = st.entries(st.serving(n, s))
+		placed := st.serving(n, s)
+		out.Entries = st.entries(placed)
+		out.Joining = st.boot-st.started < startLimit && contains(placed, st.self.ID)
 		return out
 	}
 	out.Revision = s.table.Revision
@@ -122,7 +133,7 @@
 	s.care.follow(s, st.now)
 	ready := s.shares.ready(st.boot)
 	out.Entries = st.entries(ready)
-	out.Local = slices.ContainsFunc(ready, func(n place.Node) bool { return n.ID == st.self.ID })
+	out.Local = contains(ready, st.self.ID)
 	out.Joining = s.shares.joining(st.self.ID)
 	if !out.Local {
 		return out
