goldcreststand: drop loads of gone servers, guard version shares in a queue

Cause: the load of every server that was ever listed was kept; no test held a version's share while calls wait. Change: a new list drops the loads of servers that left it and have no calls in flight; a test saturates two versions at weights 90 and 10. Ruled out: dropping loads with calls in flight, because a server that comes back would get more calls than its slots. Conclusion: control memory follows the lists.

--- a/goldcreststand/internal/ctrl/shares.go
+++ b/goldcreststand/internal/ctrl/shares.go
@@ -10,6 +10,7 @@
 	"goldcreststand.example/core/limit"
 	"goldcreststand.example/core/place"
 	"goldcreststand.example/core/roster"
+	"goldcreststand.example/core/route"
 	"goldcreststand.example/core/table"
 )
 
@@ -47,6 +48,7 @@
 	}
 	sh.plan = sh.splitter.Split(s.table.Service, limit.Caps(s.table, servers), serving)
 	maps.DeleteFunc(sh.since, func(id ident.InstanceID, _ time.Duration) bool { return !contains(serving, id) })
+	s.prune(servers)
 	for _, n := range serving {
 		if _, ok := sh.since[n.ID]; !ok {
 			sh.since[n.ID] = now
@@ -54,6 +56,13 @@
 	}
 }
 
+// prune drops the loads of servers that are listed no more and have no calls in flight.
+func (s *service) prune(servers []roster.Server) {
+	maps.DeleteFunc(s.loads, func(id ident.ServerID, l *route.Load) bool {
+		return l.Inflight() == 0 && !slices.ContainsFunc(servers, func(b roster.Server) bool { return b.ID == id })
+	})
+}
+
 // ready returns the serving instances that have shares in force as far as this one knows, or all of
 // them when there is none. An instance that has just joined would let calls wait for TakeDelay.
 func (sh *shares) ready(now time.Duration) []place.Node {
--- a/goldcreststand/internal/ctrl/shares_test.go
+++ b/goldcreststand/internal/ctrl/shares_test.go
@@ -133,3 +133,20 @@
 		require.False(t, s.Joining)
 	}
 }
+
+// Guards against memory that grows with every server that was ever listed, and against calls in flight
+// that are forgotten when their server comes back.
+func TestLoadsOfGoneServersAreDropped(t *testing.T) {
+	fleet := fleetOf(1, listing(4, 4), &table.Table{Service: "svc", Revision: 1})
+	slotsAt(fleet, time.Second, 10*time.Second)
+	loads := fleet[0].services["svc"].loads
+	require.Len(t, loads, 4)
+	require.True(t, loads["s3"].Acquire(1))
+	l := listing(1, 4)
+	l.Revision = 2
+	ListingSeen{Listing: l}.apply(fleet[0])
+	slotsAt(fleet, 11*time.Second, 11*time.Second)
+	require.Contains(t, loads, ident.ServerID("s0"))
+	require.Contains(t, loads, ident.ServerID("s3"))
+	require.Len(t, loads, 2)
+}
--- a/goldcreststand/internal/proxy/admission_test.go
+++ b/goldcreststand/internal/proxy/admission_test.go
@@ -153,6 +153,40 @@
 	require.Zero(t, a.lane("svc").queue.Len())
 }
 
+// Guards against a version in rollout that gets more than its share because its servers have free slots
+// while calls wait for the other version.
+func TestVersionShareHoldsUnderSaturation(t *testing.T) {
+	w := newWorld(2, 1)
+	w.service().Servers[1].Version = "v2"
+	w.service().Group(func(v ident.VersionName) ident.Weight {
+		return map[ident.VersionName]ident.Weight{"v1": 90, "v2": 10}[v]
+	})
+	a := NewAdmission(w, route.Proportional{}, w)
+	var wg sync.WaitGroup
+	var newer atomic.Int32
+	const callers, calls = 16, 250
+	for range callers {
+		wg.Go(func() {
+			for range calls {
+				s, err := a.Acquire(t.Context(), w.service(), w.call("a"))
+				if err != nil {
+					t.Errorf("call rejected: %v", err)
+					return
+				}
+				if s.Server.Version == "v2" {
+					newer.Add(1)
+				}
+				runtime.Gosched()
+				s.Release(route.Outcome{})
+			}
+		})
+	}
+	wg.Wait()
+	// Five standard deviations of 4,000 draws with probability 0.1.
+	require.LessOrEqual(t, newer.Load(), int32(callers*calls/10+95))
+	require.Positive(t, newer.Load())
+}
+
 // Guards against header values that RFC 9218 lets callers send and that would fail the call.
 func TestParsePriority(t *testing.T) {
 	for _, c := range []struct {
