--- a/goldcreststand/internal/admin/handler.go
+++ b/goldcreststand/internal/admin/handler.go
@@ -63,11 +63,11 @@
 // that waits for it does not take the slots of several instances out of use at once.
 func (h *Handler) ready(c echo.Context) error {
 	services := h.control.Load().Services
-	joining := len(services) == 0 || h.leaving()
+	waiting := len(services) == 0 || h.leaving()
 	for _, s := range services {
-		joining = joining || s.Joining
+		waiting = waiting || s.Joining
 	}
-	if joining {
+	if waiting {
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
 	return c.NoContent(http.StatusOK)
