--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -214,14 +214,11 @@
 	if !r.confirmed {
 		return 0, true
 	}
-	return min(r.target(), r.room()), true
-}
-
-func (r *Rollout) target() ident.Share {
-	if r.current.Outcome == table.OutcomeDone {
-		return ident.FullShare
+	if r.current.Outcome == table.OutcomeDone && r.capacity.New > 0 {
+		// The old version's servers may go at any time, so bursts do not bring calls back to them.
+		return ident.FullShare, true
 	}
-	return r.stage().Share()
+	return min(r.stage().Share(), r.room()), true
 }
 
 // room returns the share of the calls that the new version's servers can take. Most of the slots stay
--- a/core/canary/rollout_test.go
+++ b/core/canary/rollout_test.go
@@ -81,6 +81,11 @@
 			s.run(10 * time.Second)
 			require.Equal(t, table.OutcomeDone, s.final.Outcome)
 			require.Less(t, s.ended, 2*time.Minute)
+			// A burst that fills the new version's slots does not bring calls back to the old one.
+			s.capacity.Inflight = 100
+			s.step()
+			share, _ := s.nodes[0].Share()
+			require.Equal(t, ident.FullShare, share)
 			turns = s.in()
 			for s.in() < turns+10*time.Second {
 				s.step()
