--- a/core/health/tracker_test.go
+++ b/core/health/tracker_test.go
@@ -68,6 +68,23 @@
 			require.Equal(t, health.StateActive, in.tracker.Verdict(id, w.now).State, "%s %s", in.id, id)
 		}
 	}
+	w.restart("s0")
+	for _, in := range w.instances {
+		w.tell(in)
+	}
+	from, active := w.now, 0
+	for active < len(w.instances) && w.now.Sub(from) < time.Minute {
+		w.advance()
+		active = 0
+		for _, in := range w.instances {
+			if in.tracker.Verdict("s0", w.now).State == health.StateActive {
+				active++
+				t.Logf("%s uses the restarted server after %v", in.id, w.now.Sub(from))
+			}
+		}
+	}
+	require.Equal(t, len(w.instances), active)
+	require.Zero(t, w.overloads)
 }
 
 // Guards against a server that fails fast and attracts traffic, and against more than half of the
