proxy, core/route: keep the slot of a canceled try for a short time

A further try could also leave a heavy version whose servers it had all tried for the version in rollout. Change: a canceled or timed-out try gives its slot back after 10 ms; a service without the tried servers keeps all versions with their weights. Ruled out: waiting for the server to confirm (a closed connection has no answer). Conclusion: slots hold also when tries are canceled, up to the notice time.

--- a/core/route/version.go
+++ b/core/route/version.go
@@ -71,12 +71,11 @@
 func (s *Service) Without(tried func(*Server) bool) *Service {
 	out := *s
 	out.Servers = slices.DeleteFunc(slices.Clone(s.Servers), tried)
-	out.Versions = make([]Version, 0, len(s.Versions))
-	for _, v := range s.Versions {
+	out.Versions = slices.Clone(s.Versions)
+	for i := range out.Versions {
+		// A version without servers stays: its share of the calls must not go to the others.
+		v := &out.Versions[i]
 		v.Servers = slices.DeleteFunc(slices.Clone(v.Servers), tried)
-		if len(v.Servers) > 0 {
-			out.Versions = append(out.Versions, v)
-		}
 	}
 	return &out
 }
--- a/core/route/version_test.go
+++ b/core/route/version_test.go
@@ -122,4 +122,14 @@
 	}
 	require.InDelta(t, 100, n, 50)
 	require.Len(t, s.Versions[0].Servers, 3, "the service itself is unchanged")
+	alone := s.Without(func(x *route.Server) bool { return x.Version == "v1" })
+	none := 0
+	for range 100 {
+		if srv := alone.Pick(route.Proportional{}, alone.Draw(rng), time.Minute, rng); srv == nil {
+			none++
+		} else {
+			srv.Load.Release()
+		}
+	}
+	require.Greater(t, none, 90, "the light version gets the calls of the heavy one")
 }
--- a/goldcreststand/internal/proxy/try.go
+++ b/goldcreststand/internal/proxy/try.go
@@ -15,6 +15,10 @@
 	"goldcreststand.example/core/route"
 )
 
+// noticeTime is the time after which a server has noticed that a connection was closed: a trip between
+// failure domains takes 1.5 ms, the rest is for a busy server.
+const noticeTime = 10 * time.Millisecond
+
 // try is one try of a call at one server.
 type try struct {
 	x *run
@@ -182,11 +186,22 @@
 			t.outcome.Latency = t.x.now().Sub(t.start)
 		}
 		t.outcome.Result = r
-		t.release(t.outcome)
+		t.leave()
 		t.x.ended(t, r)
 	})
 }
 
+// leave gives back the slot. A server that was left before its response ended works on until it notices;
+// its slot stays taken for that time, so that it never holds more calls than its slots.
+func (t *try) leave() {
+	switch t.outcome.Result {
+	case route.ResultCanceled, route.ResultTimeout:
+		t.x.h.clock.AfterFunc(noticeTime, func() { t.release(t.outcome) })
+	case route.ResultOK, route.ResultFailed, route.ResultShed, route.ResultRefused, route.ResultBroken:
+		t.release(t.outcome)
+	}
+}
+
 // tryBody is the body of the response that goes to the caller.
 type tryBody struct {
 	io.ReadCloser
--- a/goldcreststand/internal/watch/watcher_test.go
+++ b/goldcreststand/internal/watch/watcher_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -142,9 +143,12 @@
 // Guards against a rollout status that is written twice when the response is lost, and against an older
 // status that replaces a newer one.
 func TestStoreJoins(t *testing.T) {
+	var mu sync.Mutex
 	var stored *wire.Status
 	puts := 0
 	w, posted := start(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
 		switch {
 		case r.Method == http.MethodPut:
 			puts++
@@ -162,5 +166,7 @@
 	require.Equal(t, dist.Stored{Call: 1, Status: newer}, <-posted)
 	w.Do(dist.Store{Call: 2, Status: &table.Status{Service: "inventory", Attempt: 2, Stage: 4}})
 	require.Equal(t, dist.Stored{Call: 2, Status: newer}, <-posted)
+	mu.Lock()
+	defer mu.Unlock()
 	require.Equal(t, 1, puts)
 }
