demo, goldload: add a run that brings about the failures

Cause: what must hold has to be shown with the real processes under failure. Ruled out: a cluster simulator in the tests (small stand-ins are enough).

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # The linter has no tool block: its whole module graph does not resolve.
 LINTER := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build check demo format generate lint test tidy tools
+.PHONY: build check demo faults format generate lint test tidy tools
 
 build:
 	go build -o bin/ $(PROGRAMS:%=./%)
@@ -19,6 +19,9 @@
 demo: build
 	demo/run.sh
 
+faults: build
+	demo/faults.sh
+
 format:
 	bin/gofumpt -w $(MODULES)
 
--- a/goldload/internal/cmd/runcmd.go
+++ b/goldload/internal/cmd/runcmd.go
@@ -18,7 +18,7 @@
 	service   string
 	tenants   string
 	writes    uint
-	strict    bool
+	forbid    string
 	timeline  bool
 }
 
@@ -45,7 +45,7 @@
 	fs.IntVar(&f.plan.Factor, "factor", 3, "factor of the rate in a burst")
 	fs.Uint64Var(&f.plan.Seed, "seed", 1, "seed of the sequence of calls")
 	fs.BoolVar(&f.timeline, "timeline", false, "print the seconds in which a call did not get a complete response")
-	fs.BoolVar(&f.strict, "strict", false, "end with exit code 1 when a call got a wrong or broken response")
+	fs.StringVar(&f.forbid, "forbid", "", "verdicts that end the run with exit code 1, separated by commas, such as wrong,broken")
 }
 
 func (cfg *Config) runRunCmd(ctx context.Context, f runFlags) error {
@@ -66,6 +66,10 @@
 	if err := f.plan.Check(); err != nil {
 		return cli.Exit(cli.ExitUsage, err)
 	}
+	forbidden, err := f.forbidden()
+	if err != nil {
+		return cli.Exit(cli.ExitUsage, err)
+	}
 	r, err := load.Run(ctx, f.plan)
 	if err != nil {
 		return err
@@ -74,8 +78,25 @@
 	if f.timeline {
 		_, _ = fmt.Fprint(cfg.Out, r.Timeline())
 	}
-	if n := r.Count(load.VerdictWrong) + r.Count(load.VerdictBroken); f.strict && n > 0 {
-		return fmt.Errorf("%d calls got a wrong or broken response", n)
+	for _, v := range forbidden {
+		if n := r.Count(v); n > 0 {
+			return fmt.Errorf("%d calls ended with the verdict %s", n, v)
+		}
 	}
 	return nil
 }
+
+func (f *runFlags) forbidden() ([]load.Verdict, error) {
+	if f.forbid == "" {
+		return nil, nil
+	}
+	var out []load.Verdict
+	for _, s := range strings.Split(f.forbid, ",") {
+		v, err := load.VerdictString(s)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, v)
+	}
+	return out, nil
+}
