--- a/goldcreststand/internal/ctrl/shares.go
+++ b/goldcreststand/internal/ctrl/shares.go
@@ -10,6 +10,7 @@
 	"goldcreststand.example/core/limit"
 	"goldcreststand.example/core/place"
 	"goldcreststand.example/core/roster"
+	"goldcreststand.example/core/route"
 	"goldcreststand.example/core/table"
 )
 
@@ -46,9 +47,8 @@
 		servers = s.listing.Servers
 	}
 	sh.plan = sh.splitter.Split(s.table.Service, limit.Caps(s.table, servers), serving)
-	maps.DeleteFunc(sh.since, func(id ident.InstanceID, _ time.Duration) bool {
-		return !slices.ContainsFunc(serving, func(n place.Node) bool { return n.ID == id })
-	})
+	maps.DeleteFunc(sh.since, func(id ident.InstanceID, _ time.Duration) bool { return !contains(serving, id) })
+	s.prune(servers)
 	for _, n := range serving {
 		if _, ok := sh.since[n.ID]; !ok {
 			sh.since[n.ID] = now
@@ -56,6 +56,13 @@
 	}
 }
 
+// prune drops the loads of servers that are listed no more and have no calls in flight.
+func (s *service) prune(servers []roster.Server) {
+	maps.DeleteFunc(s.loads, func(id ident.ServerID, l *route.Load) bool {
+		return l.Inflight() == 0 && !slices.ContainsFunc(servers, func(b roster.Server) bool { return b.ID == id })
+	})
+}
+
 // ready returns the serving instances that have shares in force as far as this one knows, or all of
 // them when there is none. An instance that has just joined would let calls wait for TakeDelay.
 func (sh *shares) ready(now time.Duration) []place.Node {
@@ -71,6 +78,21 @@
 	return out
 }
 
+// joining reports whether the instance has slots due and none in force yet.
+func (sh *shares) joining(self ident.InstanceID) bool {
+	due := sh.plan[self]
+	for id := range due {
+		if sh.ledger.Share(id) > 0 {
+			return false
+		}
+	}
+	return len(due) > 0
+}
+
+func contains(nodes []place.Node, id ident.InstanceID) bool {
+	return slices.ContainsFunc(nodes, func(n place.Node) bool { return n.ID == id })
+}
+
 // entries returns the traffic addresses of the nodes.
 func (st *state) entries(nodes []place.Node) []netip.AddrPort {
 	out := make([]netip.AddrPort, len(nodes))
--- a/goldcreststand/internal/ctrl/shares_test.go
+++ b/goldcreststand/internal/ctrl/shares_test.go
@@ -65,10 +65,12 @@
 	for _, s := range slotsAt(fleet, 0, limit.TakeDelay-time.Second) {
 		require.Zero(t, s.Slots())
 		require.Len(t, s.Entries, 4)
+		require.Equal(t, s.Local, s.Joining)
 	}
 	var sum ident.Slots
 	for _, s := range slotsAt(fleet, limit.TakeDelay, limit.TakeDelay+time.Second) {
 		require.Equal(t, s.Local, s.Slots() > 0)
+		require.False(t, s.Joining)
 		sum += s.Slots()
 	}
 	require.Equal(t, ident.Slots(54), sum)
@@ -116,3 +118,35 @@
 		require.Positive(t, all)
 	}
 }
+
+// Guards against an instance that counts as ready before it has the table of a service that it serves,
+// and against one that never does because the platform has none.
+func TestJoiningWithoutTable(t *testing.T) {
+	fleet := fleetOf(4, listing(4, 4), &table.Table{Service: "svc", Revision: 1})
+	for _, st := range fleet {
+		st.services["svc"].table = nil
+	}
+	for _, s := range slotsAt(fleet, time.Second, 2*time.Second) {
+		require.True(t, s.Joining)
+	}
+	for _, s := range slotsAt(fleet, 3*time.Second, time.Second+startLimit) {
+		require.False(t, s.Joining)
+	}
+}
+
+// Guards against memory that grows with every server that was ever listed, and against calls in flight
+// that are forgotten when their server comes back.
+func TestLoadsOfGoneServersAreDropped(t *testing.T) {
+	fleet := fleetOf(1, listing(4, 4), &table.Table{Service: "svc", Revision: 1})
+	slotsAt(fleet, time.Second, 10*time.Second)
+	loads := fleet[0].services["svc"].loads
+	require.Len(t, loads, 4)
+	require.True(t, loads["s3"].Acquire(1))
+	l := listing(1, 4)
+	l.Revision = 2
+	ListingSeen{Listing: l}.apply(fleet[0])
+	slotsAt(fleet, 11*time.Second, 11*time.Second)
+	require.Contains(t, loads, ident.ServerID("s0"))
+	require.Contains(t, loads, ident.ServerID("s3"))
+	require.Len(t, loads, 2)
+}
