--- a/core/member/config.go
+++ b/core/member/config.go
@@ -51,7 +51,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Interval: 500 * time.Millisecond, Suspect: time.Second, Dead: 3 * time.Second,
-		Indirect: 3, Contact: 2 * time.Second, Sync: 3 * time.Second, MaxSync: time.Minute,
+		Indirect: 3, Contact: 2 * time.Second, Sync: 5 * time.Second, MaxSync: time.Minute,
 		Retain: time.Hour, Retransmit: 4, Rate: 300, Burst: 16000,
 	}
 }
