goldcreststand/cmd: publish metrics outside the daemon's constructor

Cause: a second daemon in one process panicked, because names of expvar are global; the shutdown test failed with -count=3. Change: the serve command publishes the metrics of its daemon. Ruled out: skipping a name that exists (the second daemon's calls would not show). Measured: the package's tests pass with -race -count=3. Conclusion: tests may build daemons.

--- a/goldcreststand/internal/cmd/daemon.go
+++ b/goldcreststand/internal/cmd/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -44,6 +43,7 @@
 	beats     *beat.Exchange
 	admission *proxy.Admission
 	traffic   *proxy.Handler
+	metrics   *stats.Set
 }
 
 // newDaemon builds the parts; none runs yet.
@@ -62,12 +62,11 @@
 		watcher: d.watcher, exchange: d.exchange, reports: d.reports, prober: d.prober, beats: d.beats,
 	})
 	d.admission = proxy.NewAdmission(d.loop, route.Proportional{}, boot.Clock{})
-	metrics := stats.New()
-	expvar.Publish("calls", metrics)
+	d.metrics = stats.New()
 	d.traffic = proxy.New(proxy.Options{
 		Timeout: s.Traffic.Timeout.Std(), Maximum: s.Traffic.Maximum.Std(), Lifetime: s.Place.Lifetime.Std(),
 		Buffer: s.Traffic.Buffer, Resend: s.Traffic.Resend,
-	}, d.loop, d.admission, boot.Clock{}, proxy.WithClock(clock), proxy.WithMetrics(metrics),
+	}, d.loop, d.admission, boot.Clock{}, proxy.WithClock(clock), proxy.WithMetrics(d.metrics),
 		proxy.WithLog(logs.Part(log, "proxy")), proxy.WithSink(&outcomeSink{loop: d.loop}))
 	return d
 }
--- a/goldcreststand/internal/cmd/servecmd.go
+++ b/goldcreststand/internal/cmd/servecmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"flag"
 	"os"
 	"runtime/debug"
@@ -42,5 +43,8 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	return newDaemon(s, clockwork.NewRealClock(), log).run(ctx)
+	d := newDaemon(s, clockwork.NewRealClock(), log)
+	// Names of expvar are global to the process, so they are not taken by a daemon of a test.
+	expvar.Publish("calls", d.metrics)
+	return d.run(ctx)
 }
