core/canary: stretch reports by the number of rollouts

Cause: a report with four routes has 915 bytes, so several rollouts at one instance exceed 3 KB/s together.

Change: the time between two reports grows with the number of the instance's rollouts that report.

Measured: report sizes with 1, 4 and 9 routes: 387, 915, 1795 bytes. One rollout with four routes sends and receives 2.7 KB/s in all at three peers, one with nine 5.4 KB/s; the latter still exceeds the budget.

--- a/core/canary/decide.go
+++ b/core/canary/decide.go
@@ -9,8 +9,9 @@
 	"goldcreststand.example/core/table"
 )
 
-// Tick lets time act and returns the report that is due to the other serving instances, or nil.
-func (r *Rollout) Tick(now time.Time) *Report {
+// Tick lets time act and returns the report that is due to the other serving instances, or nil. rollouts is
+// the number of this instance's rollouts that report, which share the bytes for messages.
+func (r *Rollout) Tick(rollouts int, now time.Time) *Report {
 	if r.move == nil {
 		return nil
 	}
@@ -23,10 +24,10 @@
 	if r.current.Outcome == table.OutcomeRunning {
 		r.advance(now)
 	}
-	return r.report(now)
+	return r.report(reportInterval*time.Duration(max(1, rollouts)), now)
 }
 
-func (r *Rollout) report(now time.Time) *Report {
+func (r *Rollout) report(interval time.Duration, now time.Time) *Report {
 	switch {
 	case !r.confirmed && now.Sub(r.asked) >= askInterval:
 		r.asked = now
@@ -35,7 +36,7 @@
 		// A decision does not wait for the next counts.
 		r.announce--
 		return &Report{Status: r.current, Asks: !r.confirmed}
-	case r.live(now) && r.confirmed && now.Sub(r.reported) >= reportInterval:
+	case r.live(now) && r.confirmed && now.Sub(r.reported) >= interval:
 		r.reported = now
 		return &Report{Status: r.current, Counts: r.counter.list(), Suspects: r.counter.worst()}
 	}
--- a/core/canary/rollout.go
+++ b/core/canary/rollout.go
@@ -180,6 +180,9 @@
 // Move returns the current move, or nil.
 func (r *Rollout) Move() *table.Move { return r.move }
 
+// Live reports whether there is a rollout that can still change, which is when it reports.
+func (r *Rollout) Live(now time.Time) bool { return r.move != nil && r.live(now) }
+
 // live reports whether the rollout can still change.
 func (r *Rollout) live(now time.Time) bool {
 	switch r.current.Outcome {
--- a/core/canary/rollout_test.go
+++ b/core/canary/rollout_test.go
@@ -126,3 +126,19 @@
 		})
 	}
 }
+
+// Guards against reports of many rollouts at a time that exceed the bytes for messages.
+func TestRolloutsShareBytes(t *testing.T) {
+	for rollouts, want := range map[int]int{0: 10, 1: 10, 5: 2} {
+		r := canary.New("s", "i0", simStart.Add(-time.Minute))
+		r.SetMove(&table.Move{Attempt: 1, From: "v1", To: "v2", Deadline: simStart.Add(time.Hour)}, simStart)
+		r.Alone(simStart)
+		reports := 0
+		for at := simStart; at.Sub(simStart) <= 20*time.Second; at = at.Add(simTick) {
+			if r.Tick(rollouts, at) != nil {
+				reports++
+			}
+		}
+		require.Equal(t, want, reports)
+	}
+}
--- a/core/canary/sim_test.go
+++ b/core/canary/sim_test.go
@@ -109,7 +109,7 @@
 		}
 		s.traffic(i, r)
 		r.SetCapacity(s.capacity)
-		s.tell(i, r.Tick(s.now))
+		s.tell(i, r.Tick(1, s.now))
 		if st, _ := r.Status(); canary.Compare(st, s.final) > 0 {
 			s.final = st
 			if st.Outcome != table.OutcomeRunning {
--- a/goldcreststand/internal/ctrl/moveevents.go
+++ b/goldcreststand/internal/ctrl/moveevents.go
@@ -45,18 +45,24 @@
 // tend lets time act on all services and returns what is due, in a fixed order.
 func (st *state) tend() []Action {
 	var out []Action
+	rollouts := 0
+	for _, s := range st.services {
+		if s.care.rollout.Live(st.now) && slices.ContainsFunc(s.shares.serving, st.isSelf) {
+			rollouts++
+		}
+	}
 	for _, n := range st.names {
 		s := st.services[n]
 		if s.table == nil || !slices.ContainsFunc(s.shares.serving, st.isSelf) {
 			continue
 		}
 		out = append(out, st.tendHealth(n, s)...)
-		out = append(out, st.tendRollout(s)...)
+		out = append(out, st.tendRollout(s, rollouts)...)
 	}
 	return out
 }
 
-func (st *state) tendRollout(s *service) []Action {
+func (st *state) tendRollout(s *service, rollouts int) []Action {
 	r := s.care.rollout
 	if !slices.ContainsFunc(s.shares.serving, st.isOther) {
 		r.Alone(st.now)
@@ -64,7 +70,7 @@
 	r.SetMove(s.table.Move, st.now)
 	r.SetCapacity(s.capacity(st.now))
 	var out []Action
-	if report := r.Tick(st.now); report != nil {
+	if report := r.Tick(rollouts, st.now); report != nil {
 		a := SendReport{Report: Report{Sender: st.self.ID, Report: *report}}
 		for _, node := range s.shares.serving {
 			if to, ok := st.peers[node.ID]; ok && st.isOther(node) {
