goldcreststand/ctrl: pass calls on after a pause until slots are in force

Change: an instance whose own slots are not in force leaves itself out of the ready instances when there are others; calls go one hop further. Ruled out: keeping the slots through a pause (others may have been given them).

--- a/core/route/load.go
+++ b/core/route/load.go
@@ -6,10 +6,11 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/table"
 )
 
 // DefaultWeight is the weight of a subject that has no row.
-const DefaultWeight ident.Weight = 100
+const DefaultWeight = table.DefaultWeight
 
 // Constants of the latency estimate.
 const (
--- a/goldcreststand/internal/ctrl/shares.go
+++ b/goldcreststand/internal/ctrl/shares.go
@@ -64,11 +64,15 @@
 }
 
 // ready returns the serving instances that have shares in force as far as this one knows, or all of
-// them when there is none. An instance that has just joined would let calls wait for TakeDelay.
-func (sh *shares) ready(now time.Duration) []place.Node {
+// them when there is none. An instance that has just joined, or that goes on after a pause, would let
+// calls wait for TakeDelay.
+func (sh *shares) ready(now time.Duration, self ident.InstanceID) []place.Node {
 	var out []place.Node
 	for _, n := range sh.serving {
-		if now-sh.since[n.ID] >= limit.TakeDelay && len(sh.plan[n.ID]) > 0 {
+		if now-sh.since[n.ID] < limit.TakeDelay || len(sh.plan[n.ID]) == 0 {
+			continue
+		}
+		if n.ID != self || !sh.joining(self) {
 			out = append(out, n)
 		}
 	}
--- a/goldcreststand/internal/ctrl/shares_test.go
+++ b/goldcreststand/internal/ctrl/shares_test.go
@@ -150,3 +150,21 @@
 	require.Contains(t, loads, ident.ServerID("s3"))
 	require.Len(t, loads, 2)
 }
+
+// Guards against an instance that goes on after a pause and keeps calls although it has no slots in force:
+// the fault run showed rejected calls for three seconds after a frozen instance went on.
+func TestResumedInstancePassesCallsOn(t *testing.T) {
+	fleet := fleetOf(4, listing(18, 4), &table.Table{Service: "svc", Revision: 1})
+	for _, s := range slotsAt(fleet, 0, 10*time.Second) {
+		require.True(t, s.Local)
+	}
+	paused := fleet[1]
+	paused.boot = 20 * time.Second
+	s := paused.snapshot().Services["svc"]
+	require.False(t, s.Local)
+	require.Len(t, s.Entries, 3)
+	require.NotContains(t, s.Entries, paused.addresses[paused.self.ID])
+	last := slotsAt(fleet[1:2], 21*time.Second, 27*time.Second)[0]
+	require.True(t, last.Local)
+	require.Len(t, last.Entries, 4)
+}
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -131,7 +131,7 @@
 	out.Revision = s.table.Revision
 	s.shares.update(st.boot, st.self.ID, s, limit.Serving(s.table, st.serving(n, s)))
 	s.care.follow(s, st.now)
-	ready := s.shares.ready(st.boot)
+	ready := s.shares.ready(st.boot, st.self.ID)
 	out.Entries = st.entries(ready)
 	out.Local = contains(ready, st.self.ID)
 	out.Joining = s.shares.joining(st.self.ID)
