fakeplatform: fail a watch when an outage begins while it starts

Cause: a watch looked at the outage before it read the object and took the channel that tells of changes only afterwards; an outage set in between was missed until the wait ended. TestOutage hung for 600 s in one run of make test under the race detector; with -race -count=2000 it failed at once. Change: the channel is taken first, then the outage is checked, then the object is read. A watch counts as pending before its timer starts.

--- a/fakeplatform/internal/store/handler.go
+++ b/fakeplatform/internal/store/handler.go
@@ -86,10 +86,15 @@
 // header or the wait of the Prefer header is over. A write shows after the age of what is read.
 func (h *handler) watch(c echo.Context, age time.Duration, read func() (string, []byte, <-chan struct{}, bool)) error {
 	old := c.Request().Header.Get("If-None-Match")
-	over := h.clock.After(waitOf(c.Request().Header.Get("Prefer")))
 	h.faults.Count(func(n *wire.PlatformCalls) { n.Pending++ })
 	defer h.faults.Count(func(n *wire.PlatformCalls) { n.Pending-- })
+	over := h.clock.After(waitOf(c.Request().Header.Get("Prefer")))
 	for {
+		// The channel is taken before the check, so that an outage that begins in between is noticed.
+		_, faults := h.faults.Outage()
+		if err := h.faults.CheckOutage(c); err != nil {
+			return err
+		}
 		tag, value, changed, ok := read()
 		if !ok && old == "" {
 			return echo.NewHTTPError(http.StatusNotFound)
@@ -102,14 +107,10 @@
 		if age > 0 {
 			look = h.clock.After(lookInterval)
 		}
-		_, faults := h.faults.Outage()
 		select {
 		case <-changed:
 		case <-look:
 		case <-faults:
-			if err := h.faults.CheckOutage(c); err != nil {
-				return err
-			}
 		case <-over:
 			return c.NoContent(http.StatusNotModified)
 		case <-c.Request().Context().Done():
