core/dist: let an instance whose calls all hang try the platform again

The only instance that reached the platform had noticed calls that hang, had given up the watches that it was a substitute for, and kept one call that was to wait for 30 s more. Change: while the platform is out of reach, a call that waits since before calls ceased to end is replaced by one that does not wait. Ruled out: loss of messages (the shrunk case draws none); shorter waits for all calls (they cost platform calls while nothing is wrong).

--- /dev/null
+++ b/core/dist/hung_test.go
@@ -0,0 +1,57 @@
+package dist_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcreststand.example/core/dist"
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/place"
+	"goldcreststand.example/core/roster"
+	"goldcreststand.example/core/table"
+)
+
+// Guards against an instance whose calls all hang and that does not try the platform again until their
+// waits are over: found by TestEditsReachServingInstances with seed 5 and 2,000 cases.
+func TestHungCallsAreReplacedByOneThatTries(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	c := dist.New("i0", dist.DefaultConfig(4), rand.New(rand.NewPCG(1, 1)))
+	tries := 0
+	var handle func(ev dist.Event)
+	handle = func(ev dist.Event) {
+		for _, a := range c.Handle(now, ev) {
+			w, ok := a.(dist.Watch)
+			switch {
+			case !ok:
+			case w.Tag != "" && w.Wait == 0:
+				tries++
+			case w.Tag != "":
+				// The call hangs.
+			case w.Key == dist.CatalogKey():
+				handle(dist.Listed{Call: w.Call, Tag: "1", Services: []ident.ServiceName{"s0"}})
+			default:
+				handle(dist.Read{Call: w.Call, Tag: "1", Object: object(w.Key)})
+			}
+		}
+	}
+	handle(dist.Members{Nodes: []place.Node{{ID: "i0", Domain: "d0"}}})
+	for end := now.Add(simTarget); now.Before(end); now = now.Add(simTick) {
+		handle(dist.Tick{})
+	}
+	require.NotNil(t, c.Object(dist.TableKey("s0")))
+	require.Positive(t, tries)
+}
+
+func object(k dist.Key) dist.Object {
+	switch k.Kind {
+	case dist.KindStatus:
+		return dist.FromStatus(&table.Status{Service: k.Service(), Attempt: 1})
+	case dist.KindListing:
+		return dist.FromListing(&roster.Listing{Service: k.Service(), Revision: 1})
+	default:
+		return dist.FromTable(&table.Table{Service: k.Service(), Revision: 1})
+	}
+}
--- a/core/dist/watch.go
+++ b/core/dist/watch.go
@@ -34,12 +34,19 @@
 	if e.watch == nil {
 		e.watch = &watch{due: c.now.Add(c.jitter(c.spread))}
 	}
-	if e.watch.pending || c.now.Before(e.watch.due) || !c.mayCall(e) {
+	if e.watch.pending && !c.isHung(e.watch) || c.now.Before(e.watch.due) || !c.mayCall(e) {
 		return
 	}
 	c.startWatch(e)
 }
 
+// isHung reports whether the call waits since before calls ceased to end. It may be replaced by one that
+// tries whether the platform responds again: an instance whose only call hangs would notice that only
+// after the wait of the call.
+func (c *Core) isHung(w *watch) bool {
+	return c.reach.blind && c.reach.hung && w.since.Before(c.reach.since)
+}
+
 func (c *Core) startWatch(e *entry) {
 	w := e.watch
 	w.call, w.pending, w.since, w.wait = c.nextCall(), true, c.now, c.cfg.Wait
