goldctl, docs: show members; give a write of unknown outcome its exit code

Cause: operators could not see who is alive, and a write whose outcome is unknown ended with the same exit code as a refused one. Change: goldctl members prints the membership as one instance sees it; a write of unknown outcome ends with exit code 4, as a wait that is over does. Ruled out: a sixth exit code (for a script both mean: look before repeating). Conclusion: status, members and progress answer an operator's questions.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -11,6 +11,7 @@
 start_deployment
 sleep 2
 ctl status -admin "$admin"
+ctl members -admin "$admin"
 
 section "load: inventory with bursts, dispatch, for 40 s in the background"
 bin/goldload run -forbid wrong,broken -timeline -instances "$traffic" -service inventory -rate 600 -time 40s -every 4s -factor 3 -tenants coordinators,planners >"$dir/inventory.txt" 2>&1 &
--- a/goldctl/internal/cmd/cmd.go
+++ b/goldctl/internal/cmd/cmd.go
@@ -27,7 +27,7 @@
 		Err:     errw,
 		Commands: []*cli.Command{
 			newApplyCmd(cfg), newBackCmd(cfg), newCheckCmd(cfg), newDiffCmd(cfg), newDomainCmd(cfg),
-			newGetCmd(cfg), newMoveCmd(cfg), newProgressCmd(cfg), newSetCmd(cfg), newStatusCmd(cfg),
+			newGetCmd(cfg), newMembersCmd(cfg), newMoveCmd(cfg), newProgressCmd(cfg), newSetCmd(cfg), newStatusCmd(cfg),
 		},
 	}
 }
--- a/goldctl/internal/cmd/platform.go
+++ b/goldctl/internal/cmd/platform.go
@@ -81,7 +81,15 @@
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	w := plat.NewWriter(t.client(), clockwork.NewRealClock(), plat.JudgeTable)
-	return w.Write(ctx, t.path(), tag, wire.FromTable(tb))
+	return exitUnknown(w.Write(ctx, t.path(), tag, wire.FromTable(tb)))
+}
+
+// exitUnknown gives a write of unknown outcome its exit code; other errors stay as they are.
+func exitUnknown(err error) error {
+	if plat.ErrUnknown.Has(err) {
+		return cli.Exit(cli.ExitTimeout, err)
+	}
+	return err
 }
 
 func (t *target) path() string { return plat.ObjectPath(collectionTables, t.service) }
--- a/goldctl/internal/cmd/rollout.go
+++ b/goldctl/internal/cmd/rollout.go
@@ -34,7 +34,7 @@
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	w := plat.NewWriter(t.client(), clockwork.NewRealClock(), plat.JudgeStatus)
-	return w.Write(ctx, t.statusPath(), tag, st)
+	return exitUnknown(w.Write(ctx, t.statusPath(), tag, st))
 }
 
 // readStatus returns the stored status and its tag; an absent one has an empty tag.
