goldcreststand/worker: one pool for the adapters' calls

Cause: fetch, report, beat and prober each had the same loop with a queue, a bound on goroutines and a done channel. Ruled out: errgroup's limit (its Go blocks when the limit is reached, and control must not wait). Conclusion: four loops fewer to read.

--- a/goldcreststand/internal/beat/beat.go
+++ b/goldcreststand/internal/beat/beat.go
@@ -13,6 +13,7 @@
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/member"
 	"goldcreststand.example/goldcreststand/internal/ctrl"
+	"goldcreststand.example/goldcreststand/internal/worker"
 	"goldcreststand.example/schema/wire"
 )
 
@@ -45,8 +46,7 @@
 	link    Link
 	log     Log
 	timeout time.Duration
-	queue   chan ctrl.SendPing
-	done    chan struct{}
+	pool    *worker.Pool
 	// departed is closed when the leave was announced.
 	departed chan struct{}
 	once     sync.Once
@@ -59,15 +59,14 @@
 func New(l Link, timeout time.Duration, log Log) *Exchange {
 	return &Exchange{
 		link: l, log: log, timeout: timeout,
-		queue:    make(chan ctrl.SendPing, concurrency),
-		done:     make(chan struct{}),
+		pool:     worker.New(concurrency),
 		departed: make(chan struct{}),
 		ready:    make(chan struct{}),
 	}
 }
 
 // Done is closed when Run and all its calls have returned.
-func (x *Exchange) Done() <-chan struct{} { return x.done }
+func (x *Exchange) Done() <-chan struct{} { return x.pool.Done() }
 
 // Departed is closed when other instances have been told that this one leaves.
 func (x *Exchange) Departed() <-chan struct{} { return x.departed }
@@ -75,9 +74,7 @@
 // Do queues a heartbeat and does not block. A heartbeat for which the queue has no room is left out;
 // control notices that no response came.
 func (x *Exchange) Do(a ctrl.SendPing) {
-	select {
-	case x.queue <- a:
-	default:
+	if !x.pool.Do(func(ctx context.Context) { x.send(ctx, a) }) {
 		x.log.Debugf("queue is full; heartbeat to %s left out", a.To)
 	}
 }
@@ -96,28 +93,9 @@
 
 // Run sends heartbeats until the context ends and posts to p.
 func (x *Exchange) Run(ctx context.Context, p Poster) {
-	defer close(x.done)
 	x.poster = p
 	close(x.ready)
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	free := make(chan struct{}, concurrency)
-	for {
-		select {
-		case a := <-x.queue:
-			select {
-			case free <- struct{}{}:
-			case <-ctx.Done():
-				return
-			}
-			wg.Go(func() {
-				defer func() { <-free }()
-				x.send(ctx, a)
-			})
-		case <-ctx.Done():
-			return
-		}
-	}
+	x.pool.Run(ctx)
 }
 
 func (x *Exchange) send(ctx context.Context, a ctrl.SendPing) {
--- a/goldcreststand/internal/fetch/fetch.go
+++ b/goldcreststand/internal/fetch/fetch.go
@@ -12,6 +12,7 @@
 	"goldcreststand.example/core/dist"
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/goldcreststand/internal/ctrl"
+	"goldcreststand.example/goldcreststand/internal/worker"
 	"goldcreststand.example/schema/wire"
 )
 
@@ -41,58 +42,44 @@
 	self   ident.InstanceID
 	link   Link
 	log    Log
-	queue  chan ctrl.FetchPeer
-	done   chan struct{}
+	pool   *worker.Pool
 	mu     sync.Mutex
 	poster Poster
 }
 
 // New returns an exchange that has not started.
 func New(self ident.InstanceID, l Link, log Log) *Exchange {
-	return &Exchange{self: self, link: l, log: log, queue: make(chan ctrl.FetchPeer, concurrency), done: make(chan struct{})}
+	return &Exchange{self: self, link: l, log: log, pool: worker.New(concurrency)}
 }
 
 // Done is closed when Run and all its calls have returned.
-func (x *Exchange) Done() <-chan struct{} { return x.done }
+func (x *Exchange) Done() <-chan struct{} { return x.pool.Done() }
 
 // Do queues a call and does not block. When the queue is full the call is left out; control notices that
 // no response came.
 func (x *Exchange) Do(a ctrl.FetchPeer) {
-	select {
-	case x.queue <- a:
-	default:
+	queued := x.pool.Do(func(ctx context.Context) {
+		// Post fails only when the instance stops.
+		_ = x.target().Post(ctx, ctrl.DistSeen{Event: x.call(ctx, a)})
+	})
+	if !queued {
 		x.log.Debugf("queue is full; call of %s left out", a.Fetch.To)
 	}
 }
 
 // Run makes calls until the context ends and posts to p.
 func (x *Exchange) Run(ctx context.Context, p Poster) {
-	defer close(x.done)
 	x.mu.Lock()
 	x.poster = p
 	x.mu.Unlock()
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	free := make(chan struct{}, concurrency)
-	for {
-		select {
-		case a := <-x.queue:
-			select {
-			case free <- struct{}{}:
-			case <-ctx.Done():
-				return
-			}
-			wg.Go(func() {
-				defer func() { <-free }()
-				// Post fails only when the instance stops.
-				_ = p.Post(ctx, ctrl.DistSeen{Event: x.call(ctx, a)})
-			})
-		case <-ctx.Done():
-			return
-		}
-	}
+	x.pool.Run(ctx)
+}
+
+// target returns what events are posted to, or nil before Run.
+func (x *Exchange) target() Poster {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.poster
 }
 
 func (x *Exchange) call(ctx context.Context, a ctrl.FetchPeer) dist.Event {
@@ -113,9 +100,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	x.mu.Lock()
-	p := x.poster
-	x.mu.Unlock()
+	p := x.target()
 	if p == nil {
 		return nil, Error.New("instance is starting")
 	}
--- a/goldcreststand/internal/prober/prober.go
+++ b/goldcreststand/internal/prober/prober.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +17,7 @@
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/probe"
 	"goldcreststand.example/goldcreststand/internal/ctrl"
+	"goldcreststand.example/goldcreststand/internal/worker"
 	"goldcreststand.example/schema/wire"
 )
 
@@ -40,50 +40,32 @@
 // Prober carries out probes.
 type Prober struct {
 	clock clockwork.Clock
-	queue chan ctrl.Probe
-	done  chan struct{}
+	pool  *worker.Pool
+	// to is set by Run, before a probe runs.
+	to Poster
 }
 
 // New returns a prober that has not started.
 func New(clock clockwork.Clock) *Prober {
-	return &Prober{clock: clock, queue: make(chan ctrl.Probe, queueLength), done: make(chan struct{})}
+	return &Prober{clock: clock, pool: worker.New(queueLength)}
 }
 
 // Done is closed when Run and all its probes have returned.
-func (p *Prober) Done() <-chan struct{} { return p.done }
+func (p *Prober) Done() <-chan struct{} { return p.pool.Done() }
 
 // Do queues a probe and does not block. When the queue is full the probe is left out; its part of the budget
 // stays spent.
 func (p *Prober) Do(a ctrl.Probe) {
-	select {
-	case p.queue <- a:
-	default:
-	}
+	p.pool.Do(func(ctx context.Context) {
+		// Post fails only when the instance stops.
+		_ = p.to.Post(ctx, p.probe(ctx, a))
+	})
 }
 
 // Run carries out probes until the context ends and posts their results to to.
 func (p *Prober) Run(ctx context.Context, to Poster) {
-	defer close(p.done)
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	free := make(chan struct{}, queueLength)
-	for {
-		select {
-		case a := <-p.queue:
-			select {
-			case free <- struct{}{}:
-			case <-ctx.Done():
-				return
-			}
-			wg.Go(func() {
-				defer func() { <-free }()
-				// Post fails only when the instance stops.
-				_ = to.Post(ctx, p.probe(ctx, a))
-			})
-		case <-ctx.Done():
-			return
-		}
-	}
+	p.to = to
+	p.pool.Run(ctx)
 }
 
 // probe asks for health and load over one connection.
--- a/goldcreststand/internal/report/report.go
+++ b/goldcreststand/internal/report/report.go
@@ -13,6 +13,7 @@
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/goldcreststand/internal/ctrl"
 	"goldcreststand.example/goldcreststand/internal/peer"
+	"goldcreststand.example/goldcreststand/internal/worker"
 	"goldcreststand.example/schema/wire"
 )
 
@@ -43,8 +44,7 @@
 	self   ident.InstanceID
 	link   Link
 	log    Log
-	queue  chan func(context.Context)
-	done   chan struct{}
+	pool   *worker.Pool
 	mu     sync.Mutex
 	poster Poster
 }
@@ -53,11 +53,11 @@
 
 // New returns an exchange that has not started.
 func New(self ident.InstanceID, l Link, log Log) *Exchange {
-	return &Exchange{self: self, link: l, log: log, queue: make(chan func(context.Context), concurrency), done: make(chan struct{})}
+	return &Exchange{self: self, link: l, log: log, pool: worker.New(concurrency)}
 }
 
 // Done is closed when Run and all its calls have returned.
-func (x *Exchange) Done() <-chan struct{} { return x.done }
+func (x *Exchange) Done() <-chan struct{} { return x.pool.Done() }
 
 // Send queues a report to each of its receivers and does not block. A report that finds the queue full is
 // left out: the next one carries the same counts and more.
@@ -88,38 +88,17 @@
 }
 
 func (x *Exchange) enqueue(call func(context.Context)) {
-	select {
-	case x.queue <- call:
-	default:
+	if !x.pool.Do(call) {
 		x.log.Debugf("queue is full; a call was left out")
 	}
 }
 
 // Run makes calls until the context ends and posts to p.
 func (x *Exchange) Run(ctx context.Context, p Poster) {
-	defer close(x.done)
 	x.mu.Lock()
 	x.poster = p
 	x.mu.Unlock()
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	free := make(chan struct{}, concurrency)
-	for {
-		select {
-		case call := <-x.queue:
-			select {
-			case free <- struct{}{}:
-			case <-ctx.Done():
-				return
-			}
-			wg.Go(func() {
-				defer func() { <-free }()
-				call(ctx)
-			})
-		case <-ctx.Done():
-			return
-		}
-	}
+	x.pool.Run(ctx)
 }
 
 func (x *Exchange) post(ctx context.Context, ev ctrl.Event) error {
