core/dist, core/member, ctrl: use the field's terms in names

Cause: some names were figurative: an instance's word, a blind instance, a teller, farewells, care, tend. Change: report, offline, sender, pending leaves, backends, tickServices; a comment that described a field which no longer exists. Ruled out: renaming the key reach/<id>, which is part of the messages. Measured: behaviour stays; the tests of the packages pass. Conclusion: a newcomer finds the usual words.

--- a/core/dist/config.go
+++ b/core/dist/config.go
@@ -29,7 +29,7 @@
 	PerWatch  time.Duration
 	MinSpread time.Duration
 	MaxSpread time.Duration
-	// ReachExpiry is the time for which an instance's word that it does not reach the platform holds.
+	// ReachExpiry is the time for which an instance's report that it does not reach the platform holds.
 	ReachExpiry time.Duration
 	// FetchTimeout bounds a call of a peer.
 	FetchTimeout time.Duration
--- a/core/dist/core.go
+++ b/core/dist/core.go
@@ -43,8 +43,8 @@
 	key Key
 	// known is the newest revision that any instance told of. It is at least the object's.
 	known ident.Revision
-	// teller is the instance that told of the known revision.
-	teller ident.InstanceID
+	// sender is the instance that told of the known revision.
+	sender ident.InstanceID
 	// object is the version in force here, or nil.
 	object *Object
 	// newest is the newest revision that has been in force here; the object may have been dropped since.
@@ -127,9 +127,9 @@
 		c.services[n] = place.Order(string(n), c.nodes)
 	}
 	c.stale = true
-	// Those that join, such as the other side of a partition, may not know the word of this instance.
-	if joined && c.reach.blind {
-		c.sayReach()
+	// Those that join, such as the other side of a partition, may not know the report of this instance.
+	if joined && c.reach.offline {
+		c.announceReach()
 	}
 }
 
@@ -202,7 +202,7 @@
 		}
 	}
 	rank := slices.IndexFunc(c.watchers(place.Order(CatalogKey().String(), c.nodes)), c.isSelf)
-	if rank < 0 && c.reach.blind {
+	if rank < 0 && c.reach.offline {
 		// An instance without any watch still has to notice that it reaches the platform again.
 		rank = c.cfg.Watchers
 	}
@@ -235,15 +235,15 @@
 // platform the next one that does takes over.
 func (c *Core) watchers(order []place.Node) []place.Node {
 	out := slices.Clone(order[:min(c.cfg.Watchers, len(order))])
-	seeing := 0
+	online := 0
 	for i, n := range order[:min(c.cfg.Depth, len(order))] {
-		if seeing == c.cfg.Watchers {
+		if online == c.cfg.Watchers {
 			break
 		}
-		if c.isBlind(n.ID) {
+		if c.isOffline(n.ID) {
 			continue
 		}
-		seeing++
+		online++
 		if i >= c.cfg.Watchers {
 			out = append(out, n)
 		}
--- a/core/dist/dist_test.go
+++ b/core/dist/dist_test.go
@@ -181,7 +181,7 @@
 	}
 }
 
-// Guards against an older word of a former life that keeps an instance from watching.
+// Guards against an older report of a former life that keeps an instance from watching.
 func TestRestartReplacesFormerWord(t *testing.T) {
 	s := newSim(1, 2, 1)
 	s.advance(simTarget)
--- a/core/dist/key.go
+++ b/core/dist/key.go
@@ -26,7 +26,7 @@
 	KindStatus
 	// KindListing is the platform's list of the backend servers of a service.
 	KindListing
-	// KindReach is an instance's word on whether it reaches the platform. The platform does not store it.
+	// KindReach is an instance's report on whether it reaches the platform. The platform does not store it.
 	KindReach
 	// KindCatalog is the list of the services that have a routing table. Instances do not exchange it:
 	// the keys of the routing tables stand for it.
@@ -65,7 +65,7 @@
 // ListingKey returns the key of a service's server list.
 func ListingKey(s ident.ServiceName) Key { return Key{Kind: KindListing, Name: string(s)} }
 
-// ReachKey returns the key of an instance's word on whether it reaches the platform.
+// ReachKey returns the key of an instance's report on whether it reaches the platform.
 func ReachKey(id ident.InstanceID) Key { return Key{Kind: KindReach, Name: string(id)} }
 
 // CatalogKey returns the key of the list of services.
--- a/core/dist/peer.go
+++ b/core/dist/peer.go
@@ -63,10 +63,10 @@
 		}
 		c.toggle(h.Key, h.Revision)
 	}
-	e.known, e.teller = h.Revision, from
+	e.known, e.sender = h.Revision, from
 	e.sends = 3 * bits.Len(uint(len(c.nodes)))
 	if h.Key.Kind == KindReach {
-		c.heardReach(e, from)
+		c.learnReach(e, from)
 	}
 	return true
 }
@@ -302,7 +302,7 @@
 	for i, n := range order {
 		switch {
 		case c.isSelf(n):
-		case n.ID == e.teller:
+		case n.ID == e.sender:
 			ids = slices.Insert(ids, 0, n.ID)
 		case i < c.cfg.Serving:
 			ids = append(ids, n.ID)
--- a/core/dist/reach.go
+++ b/core/dist/reach.go
@@ -11,11 +11,11 @@
 // reach the platform.
 const maxStrikes = 2
 
-// reach is what the instance knows of who reaches the platform. An instance's word is a revision that
+// reach is what the instance knows of who reaches the platform. An instance's report is a revision that
 // only the instance itself increases: odd when it does not reach the platform.
 type reach struct {
-	// blind says that this instance does not reach the platform; one call at a time then tries.
-	blind bool
+	// offline says that this instance does not reach the platform; one call at a time then tries.
+	offline bool
 	// hung says that calls did not end, so that those that wait since then are worth nothing.
 	hung    bool
 	since   time.Time
@@ -23,21 +23,21 @@
 	probe   *entry
 	probeAt time.Time
 	fails   int
-	// told is the time at which the current word of each instance was learned.
-	told map[ident.InstanceID]time.Time
+	// announced is the time at which the current report of each instance was learned.
+	announced map[ident.InstanceID]time.Time
 }
 
-// isBlind reports whether the instance's word, if it is not too old, is that it does not reach the platform.
-func (c *Core) isBlind(id ident.InstanceID) bool {
+// isOffline reports whether the instance's report, if it is not too old, is that it does not reach the platform.
+func (c *Core) isOffline(id ident.InstanceID) bool {
 	e, ok := c.entries[ReachKey(id)]
-	return ok && e.known%2 == 1 && c.now.Sub(c.reach.told[id]) < c.cfg.ReachExpiry
+	return ok && e.known%2 == 1 && c.now.Sub(c.reach.announced[id]) < c.cfg.ReachExpiry
 }
 
-// expireReach forgets words that are too old.
+// expireReach forgets reports that are too old.
 func (c *Core) expireReach() {
-	for id, at := range c.reach.told {
+	for id, at := range c.reach.announced {
 		if c.now.Sub(at) >= c.cfg.ReachExpiry {
-			delete(c.reach.told, id)
+			delete(c.reach.announced, id)
 			if id != c.self {
 				c.forget(ReachKey(id))
 			}
@@ -46,26 +46,26 @@
 	}
 }
 
-// heardReach takes the word of an instance. A word on this instance from its former life is replaced by a
+// learnReach takes the report of an instance. A report on this instance from its former life is replaced by a
 // newer one.
-func (c *Core) heardReach(e *entry, from ident.InstanceID) {
+func (c *Core) learnReach(e *entry, from ident.InstanceID) {
 	id := ident.InstanceID(e.key.Name)
 	if id == c.self && from != c.self {
-		c.sayReach()
+		c.announceReach()
 		return
 	}
-	if c.reach.told == nil {
-		c.reach.told = make(map[ident.InstanceID]time.Time)
+	if c.reach.announced == nil {
+		c.reach.announced = make(map[ident.InstanceID]time.Time)
 	}
-	c.reach.told[id] = c.now
+	c.reach.announced[id] = c.now
 	c.stale = true
 }
 
-// sayReach sets this instance's word to a newer one and tells those that take over or step back.
-func (c *Core) sayReach() {
+// announceReach sets this instance's report to a newer one and tells those that take over or step back.
+func (c *Core) announceReach() {
 	k := ReachKey(c.self)
 	next := c.entry(k).known + 1
-	if (next%2 == 1) != c.reach.blind {
+	if (next%2 == 1) != c.reach.offline {
 		next++
 	}
 	held := Held{Key: k, Revision: next}
@@ -86,7 +86,7 @@
 // mayCall reports whether a call of the platform may start. While the platform is out of reach, one call
 // at a time tries, so that its return brings no burst.
 func (c *Core) mayCall(e *entry) bool {
-	if !c.reach.blind {
+	if !c.reach.offline {
 		return true
 	}
 	if c.reach.probe != nil || c.now.Before(c.reach.probeAt) {
@@ -99,10 +99,10 @@
 // reached notes that the platform responded.
 func (c *Core) reached() {
 	c.reach.strikes = 0
-	if !c.reach.blind {
+	if !c.reach.offline {
 		return
 	}
-	c.reach.blind, c.reach.fails = false, 0
+	c.reach.offline, c.reach.fails = false, 0
 	c.setSpread(func(e *entry) bool { return e.watch != nil && (!e.watch.pending || c.reach.hung) })
 	for _, e := range c.list {
 		w := e.watch
@@ -120,7 +120,7 @@
 		}
 	}
 	c.reach.hung = false
-	c.sayReach()
+	c.announceReach()
 }
 
 // missed notes that a call of the platform failed.
@@ -131,23 +131,23 @@
 	}
 }
 
-// loseReach notes that the platform is out of reach, and repeats the word before it expires.
+// loseReach notes that the platform is out of reach, and repeats the report before it expires.
 func (c *Core) loseReach() {
 	c.reach.fails++
 	c.reach.probeAt = c.now.Add(c.backoff(c.reach.fails, c.cfg.Cap))
-	if !c.reach.blind {
-		c.reach.blind, c.reach.since = true, c.now
-		c.sayReach()
+	if !c.reach.offline {
+		c.reach.offline, c.reach.since = true, c.now
+		c.announceReach()
 		return
 	}
-	if c.now.Sub(c.reach.told[c.self]) > c.cfg.ReachExpiry*2/3 {
-		c.sayReach()
+	if c.now.Sub(c.reach.announced[c.self]) > c.cfg.ReachExpiry*2/3 {
+		c.announceReach()
 	}
 }
 
 // checkOverdue notices calls that neither end nor fail.
 func (c *Core) checkOverdue() {
-	if c.reach.blind {
+	if c.reach.offline {
 		return
 	}
 	for _, e := range c.list {
--- a/core/dist/store.go
+++ b/core/dist/store.go
@@ -63,7 +63,7 @@
 		e.store.want = e.object.Revision
 		e.store.at = c.now.Add(time.Duration(e.rank) * c.cfg.StoreDelay)
 	}
-	if e.store.call != 0 || c.now.Before(e.store.at) || c.reach.blind {
+	if e.store.call != 0 || c.now.Before(e.store.at) || c.reach.offline {
 		return
 	}
 	e.store.call = c.nextCall()
--- a/core/dist/watch.go
+++ b/core/dist/watch.go
@@ -44,14 +44,14 @@
 // tries whether the platform responds again: an instance whose only call hangs would notice that only
 // after the wait of the call.
 func (c *Core) isHung(w *watch) bool {
-	return c.reach.blind && c.reach.hung && w.since.Before(c.reach.since)
+	return c.reach.offline && c.reach.hung && w.since.Before(c.reach.since)
 }
 
 func (c *Core) startWatch(e *entry) {
 	w := e.watch
 	w.call, w.pending, w.since, w.wait = c.nextCall(), true, c.now, c.cfg.Wait
 	// A call that does not wait tells at once that the platform is back.
-	if w.tag == "" || c.reach.blind {
+	if w.tag == "" || c.reach.offline {
 		w.wait = 0
 	} else if c.short == nil {
 		c.short, w.wait = e, c.cfg.ShortWait
@@ -61,7 +61,7 @@
 
 // stepShort gives one of the waiting calls the short wait when none has it.
 func (c *Core) stepShort() {
-	if c.short != nil || c.reach.blind {
+	if c.short != nil || c.reach.offline {
 		return
 	}
 	for _, e := range c.list {
--- a/core/member/core.go
+++ b/core/member/core.go
@@ -34,14 +34,14 @@
 	queue   queue
 	version uint64
 
-	exchanges  exchanges
-	probes     []*probe
-	rounds     []ident.InstanceID
-	probed     time.Time
-	joining    joining
-	syncing    syncing
-	contacting contacting
-	farewells  int
+	exchanges     exchanges
+	probes        []*probe
+	rounds        []ident.InstanceID
+	probed        time.Time
+	joining       joining
+	syncing       syncing
+	contacting    contacting
+	pendingLeaves int
 
 	actions []Action
 }
--- a/core/member/exchange.go
+++ b/core/member/exchange.go
@@ -96,7 +96,7 @@
 	case kindJoin:
 		c.joining.open = false
 	case kindFarewell:
-		c.farewell()
+		c.leaveAnswered()
 	case kindSync:
 		c.syncing.after = ""
 	case kindIndirect, kindNotify, kindAnnounce, kindContact:
@@ -135,7 +135,7 @@
 	case kindSync:
 		c.syncPage(e.Pong, fresh)
 	case kindFarewell:
-		c.farewell()
+		c.leaveAnswered()
 	case kindNotify, kindAnnounce, kindContact:
 	}
 }
--- a/core/member/join.go
+++ b/core/member/join.go
@@ -7,8 +7,8 @@
 	"goldcreststand.example/core/ident"
 )
 
-// farewellFanout is the number of members that are told of a leave directly; gossip tells the rest.
-const farewellFanout = 8
+// leaveFanout is the number of members that are told of a leave directly; gossip tells the rest.
+const leaveFanout = 8
 
 // startTime is the time after the start in which pages are asked for at a higher rate. When a whole fleet
 // starts, seeds hand out pages before they know all; with one page per 2 s 60 instances took 48 s, and 120
@@ -119,20 +119,20 @@
 	// Every message carries the record from now on.
 	c.queue.drop(c.self.ID)
 	c.version++
-	told := c.sample(c.live(""), farewellFanout)
+	told := c.sample(c.live(""), leaveFanout)
 	if len(told) == 0 {
 		c.actions = append(c.actions, Departed{})
 	}
-	c.farewells = len(told)
+	c.pendingLeaves = len(told)
 	for _, e := range told {
 		c.send(kindFarewell, e.ID, e.Peer, c.ping(e.ID))
 	}
 }
 
-// farewell counts a leave message that was answered or failed.
-func (c *Core) farewell() {
-	c.farewells--
-	if c.farewells == 0 {
+// leaveAnswered counts a leave message that was answered or failed.
+func (c *Core) leaveAnswered() {
+	c.pendingLeaves--
+	if c.pendingLeaves == 0 {
 		c.actions = append(c.actions, Departed{})
 	}
 }
--- a/goldcreststand/internal/ctrl/care.go
+++ b/goldcreststand/internal/ctrl/backends.go
@@ -25,29 +25,28 @@
 	Bytes ident.Bytes
 }
 
-// care is the control state about a service's backend servers and its version rollout.
-type care struct {
+// backends is the control state about a service's backend servers and its version rollout.
+type backends struct {
 	self    ident.InstanceID
 	tracker *health.Tracker
 	rollout *canary.Rollout
 	planner *probe.Planner
 	planned time.Time
-	// plan is the division of slots that the tracker's holders follow from; table, listing and serving
-	// are what it was made from.
+	// table, listing and serving are what the tracker's holders were set from.
 	table   *table.Table
 	listing *roster.Listing
 	serving []place.Node
 }
 
-func newCare(st *state, n ident.ServiceName) *care {
-	c := &care{self: st.self.ID, rollout: canary.New(n, st.self.ID, st.now)}
+func newBackends(st *state, n ident.ServiceName) *backends {
+	c := &backends{self: st.self.ID, rollout: canary.New(n, st.self.ID, st.now)}
 	c.forget(st, n)
 	return c
 }
 
 // forget drops what is known of the servers, because it grows old while the instance does not serve the
 // service.
-func (c *care) forget(st *state, n ident.ServiceName) {
+func (c *backends) forget(st *state, n ident.ServiceName) {
 	// The seed differs between instances, so that their ejections do not end in step.
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(string(st.self.ID) + "/" + string(n)))
@@ -58,7 +57,7 @@
 
 // follow brings the holders of the servers' slots up to date. It is called for every snapshot, after the
 // shares.
-func (c *care) follow(s *service, now time.Time) {
+func (c *backends) follow(s *service, now time.Time) {
 	if c.table == s.table && c.listing == s.listing && slices.Equal(c.serving, s.shares.serving) {
 		return
 	}
@@ -82,7 +81,7 @@
 }
 
 // admit lowers the server's share to its verdict and reports whether it takes work.
-func (c *care) admit(srv *route.Server, now time.Time) bool {
+func (c *backends) admit(srv *route.Server, now time.Time) bool {
 	srv.Share = min(srv.Share, c.tracker.Verdict(srv.ID, now).Limit)
 	return srv.Share > 0
 }
@@ -93,8 +92,8 @@
 func (s *service) weight(v ident.VersionName) ident.Weight {
 	row := route.VersionWeight(s.table, v)
 	share := ident.FullShare
-	if to, ok := s.care.rollout.Share(); ok {
-		m := s.care.rollout.Move()
+	if to, ok := s.backends.rollout.Share(); ok {
+		m := s.backends.rollout.Move()
 		switch {
 		case v == m.To:
 			share = to
@@ -113,7 +112,7 @@
 // keepOld adds the old version of a rollout when it has listed servers but none that takes work now. Its calls
 // wait or are rejected; otherwise the new version would get them all, whatever its share is.
 func (s *service) keepOld(out *route.Service) {
-	m := s.care.rollout.Move()
+	m := s.backends.rollout.Move()
 	if m == nil {
 		return
 	}
@@ -135,7 +134,7 @@
 // capacity sums up what the servers of both versions of the rollout can take at this instance.
 func (s *service) capacity(now time.Time) canary.Capacity {
 	var out canary.Capacity
-	m := s.care.rollout.Move()
+	m := s.backends.rollout.Move()
 	if m == nil || s.listing == nil {
 		return out
 	}
@@ -146,7 +145,7 @@
 		if b.Leaving {
 			continue
 		}
-		n := min(s.shares.ledger.Share(b.ID), s.care.tracker.Verdict(b.ID, now).Limit)
+		n := min(s.shares.ledger.Share(b.ID), s.backends.tracker.Verdict(b.ID, now).Limit)
 		switch b.Version {
 		case m.From:
 			out.Old += n
--- a/goldcreststand/internal/ctrl/bench_test.go
+++ b/goldcreststand/internal/ctrl/bench_test.go
@@ -12,9 +12,9 @@
 	"goldcreststand.example/core/table"
 )
 
-// BenchmarkTend measures one tick of health, probing and rollouts at an instance that serves 27 services
+// BenchmarkTickServices measures one tick of health, probing and rollouts at an instance that serves 27 services
 // with 20 servers each, of which all run a rollout, after 200 outcomes.
-func BenchmarkTend(b *testing.B) {
+func BenchmarkTickServices(b *testing.B) {
 	st := newState(Self{ID: "i0", Count: 4, Dist: dist.DefaultConfig(4), Probe: ProbeBudget{Rate: 0.5, Bytes: 150}})
 	st.now = time.Unix(1e6, 0)
 	var batch []route.Outcome
@@ -41,6 +41,6 @@
 			batch[i].Start, batch[i].Latency = st.now, time.Millisecond
 		}
 		st.observe(batch)
-		st.tend()
+		st.tickServices()
 	}
 }
--- a/goldcreststand/internal/ctrl/distevents.go
+++ b/goldcreststand/internal/ctrl/distevents.go
@@ -46,7 +46,7 @@
 	s := st.service(e.Status.Service)
 	if e.Status.Newer(s.status) {
 		s.status = e.Status
-		s.care.rollout.Learn(*e.Status, st.now)
+		s.backends.rollout.Learn(*e.Status, st.now)
 	}
 	return nil
 }
@@ -113,7 +113,7 @@
 	case dist.KindListing:
 		s.listing = nil
 		clear(s.loads)
-		s.care.forget(st, k.Service())
+		s.backends.forget(st, k.Service())
 	case dist.KindStatus, dist.KindReach, dist.KindCatalog:
 	}
 }
--- a/goldcreststand/internal/ctrl/events.go
+++ b/goldcreststand/internal/ctrl/events.go
@@ -39,7 +39,7 @@
 	s := st.service(e.Listing.Service)
 	if e.Listing.Newer(s.listing) {
 		s.listing = e.Listing
-		s.care.tracker.SetListing(e.Listing, st.now)
+		s.backends.tracker.SetListing(e.Listing, st.now)
 	}
 	return nil
 }
@@ -50,5 +50,5 @@
 }
 
 func (tick) apply(st *state) []Action {
-	return slices.Concat(st.memberTick(), st.distTick(), st.tend())
+	return slices.Concat(st.memberTick(), st.distTick(), st.tickServices())
 }
--- a/goldcreststand/internal/ctrl/fleet_test.go
+++ b/goldcreststand/internal/ctrl/fleet_test.go
@@ -100,7 +100,7 @@
 			}}}.apply(st)
 		}
 		outcome := func(st *state) table.Outcome {
-			s, _ := st.services["svc"].care.rollout.Status()
+			s, _ := st.services["svc"].backends.rollout.Status()
 			return s.Outcome
 		}
 		over := func(st *state) bool { return outcome(st) != table.OutcomeRunning }
--- a/goldcreststand/internal/ctrl/healthevents.go
+++ b/goldcreststand/internal/ctrl/healthevents.go
@@ -59,7 +59,7 @@
 
 func (e WarmSeen) apply(st *state) []Action {
 	if s, ok := st.services[e.Service]; ok {
-		s.care.tracker.Learn(e.Lives, st.now)
+		s.backends.tracker.Learn(e.Lives, st.now)
 	}
 	return nil
 }
@@ -67,7 +67,7 @@
 func (e WarmAsked) apply(st *state) []Action {
 	var warm []health.Life
 	if s, ok := st.services[e.Service]; ok {
-		warm = s.care.tracker.Warm(e.Lives, st.now)
+		warm = s.backends.tracker.Warm(e.Lives, st.now)
 	}
 	select {
 	case e.Reply <- warm:
@@ -78,8 +78,8 @@
 
 func (e Probed) apply(st *state) []Action {
 	if s, ok := st.services[e.Service]; ok {
-		s.care.tracker.Probed(e.Report, st.now)
-		s.care.planner.Done(e.Report.Server, e.Bytes)
+		s.backends.tracker.Probed(e.Report, st.now)
+		s.backends.planner.Done(e.Report.Server, e.Bytes)
 	}
 	return nil
 }
@@ -102,14 +102,14 @@
 
 func (s *service) observe(outcomes []route.Outcome, st *state) {
 	for _, o := range outcomes {
-		s.care.rollout.Observe(o, s.care.tracker.Verdict(o.Server, st.now).Fresh, st.now)
+		s.backends.rollout.Observe(o, s.backends.tracker.Verdict(o.Server, st.now).Fresh, st.now)
 	}
-	s.care.tracker.Observe(outcomes, st.now)
+	s.backends.tracker.Observe(outcomes, st.now)
 }
 
-// tendHealth lets time act on the servers of a service and returns the questions and probes that are due.
-func (st *state) tendHealth(n ident.ServiceName, s *service) []Action {
-	c := s.care
+// tickHealth lets time act on the servers of a service and returns the questions and probes that are due.
+func (st *state) tickHealth(n ident.ServiceName, s *service) []Action {
+	c := s.backends
 	c.tracker.Tick(st.now)
 	var out []Action
 	for _, q := range c.tracker.Questions(st.now) {
@@ -125,7 +125,7 @@
 }
 
 func (st *state) planProbes(n ident.ServiceName, s *service, out []Action) []Action {
-	c := s.care
+	c := s.backends
 	var candidates []probe.Candidate
 	addresses := make(map[ident.ServerID]netip.AddrPort)
 	for _, b := range s.listing.Servers {
@@ -149,8 +149,8 @@
 // snapshot was valid.
 func (st *state) resume() {
 	for _, s := range st.services {
-		s.care.tracker.Resume(st.now)
-		s.care.rollout.Resume(st.now)
-		s.care.planner.Resume()
+		s.backends.tracker.Resume(st.now)
+		s.backends.rollout.Resume(st.now)
+		s.backends.planner.Resume()
 	}
 }
--- a/goldcreststand/internal/ctrl/moveevents.go
+++ b/goldcreststand/internal/ctrl/moveevents.go
@@ -34,20 +34,20 @@
 	}
 	r := e.Report
 	if r.Asks {
-		s.care.rollout.Asked(r.Status, st.now)
+		s.backends.rollout.Asked(r.Status, st.now)
 	} else {
-		s.care.rollout.Join(r.Status, st.now)
+		s.backends.rollout.Join(r.Status, st.now)
 	}
-	s.care.rollout.Merge(r.Sender, r.Status.Attempt, r.Counts, r.Suspects, st.now)
+	s.backends.rollout.Merge(r.Sender, r.Status.Attempt, r.Counts, r.Suspects, st.now)
 	return nil
 }
 
-// tend lets time act on all services and returns what is due, in a fixed order.
-func (st *state) tend() []Action {
+// tickServices lets time act on all services and returns what is due, in a fixed order.
+func (st *state) tickServices() []Action {
 	var out []Action
 	rollouts := 0
 	for _, s := range st.services {
-		if s.care.rollout.Live(st.now) && slices.ContainsFunc(s.shares.serving, st.isSelf) {
+		if s.backends.rollout.Live(st.now) && slices.ContainsFunc(s.shares.serving, st.isSelf) {
 			rollouts++
 		}
 	}
@@ -56,14 +56,14 @@
 		if s.table == nil || !slices.ContainsFunc(s.shares.serving, st.isSelf) {
 			continue
 		}
-		out = append(out, st.tendHealth(n, s)...)
-		out = append(out, st.tendRollout(s, rollouts)...)
+		out = append(out, st.tickHealth(n, s)...)
+		out = append(out, st.tickRollout(s, rollouts)...)
 	}
 	return out
 }
 
-func (st *state) tendRollout(s *service, rollouts int) []Action {
-	r := s.care.rollout
+func (st *state) tickRollout(s *service, rollouts int) []Action {
+	r := s.backends.rollout
 	if !slices.ContainsFunc(s.shares.serving, st.isOther) {
 		r.Alone(st.now)
 	}
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -67,12 +67,12 @@
 
 // service is the control state of one service.
 type service struct {
-	table   *table.Table
-	listing *roster.Listing
-	status  *table.Status
-	loads   map[ident.ServerID]*route.Load
-	shares  *shares
-	care    *care
+	table    *table.Table
+	listing  *roster.Listing
+	status   *table.Status
+	loads    map[ident.ServerID]*route.Load
+	shares   *shares
+	backends *backends
 	// placed are the instances that serve the service by placement alone, or nil when not known.
 	placed []place.Node
 }
@@ -93,7 +93,7 @@
 func (st *state) service(n ident.ServiceName) *service {
 	s, ok := st.services[n]
 	if !ok {
-		s = &service{loads: make(map[ident.ServerID]*route.Load), shares: newShares(), care: newCare(st, n)}
+		s = &service{loads: make(map[ident.ServerID]*route.Load), shares: newShares(), backends: newBackends(st, n)}
 		st.services[n] = s
 		i, _ := slices.BinarySearch(st.names, n)
 		st.names = slices.Insert(st.names, i, n)
@@ -130,7 +130,7 @@
 	}
 	out.Revision = s.table.Revision
 	s.shares.update(st.boot, st.self.ID, s, limit.Serving(s.table, st.serving(n, s)))
-	s.care.follow(s, st.now)
+	s.backends.follow(s, st.now)
 	ready := s.shares.ready(st.boot, st.self.ID)
 	out.Entries = st.entries(ready)
 	out.Local = contains(ready, st.self.ID)
@@ -139,7 +139,7 @@
 		return out
 	}
 	for _, b := range s.listing.Servers {
-		if srv := s.server(b); srv != nil && s.care.admit(srv, st.now) {
+		if srv := s.server(b); srv != nil && s.backends.admit(srv, st.now) {
 			out.Servers = append(out.Servers, srv)
 		}
 	}
