goldcreststand/ctrl: a substitute passes calls on until it has slots

Cause: when an instance froze for 12 s, another one took its place among the four that serve the service. Non-serving instances named it in lookup responses, and it kept calls although its slots come into force 6 s later: a quarter of the calls was rejected for two seconds. Change: an instance that has been running for longer than TakeDelay takes the other serving instances as ready when it begins to serve, and so passes calls on to them while it is joining. Ruled out: a shorter lifetime of lookup responses (5 s in place of 10 s): the same run gave the same seconds with late calls, because the lookups fell before and after the failure in both cases; reverted. TestSubstitutePassesCallsOn fails without the change. Conclusion: what remains is the time until callers look up again.

--- a/goldcreststand/internal/ctrl/shares.go
+++ b/goldcreststand/internal/ctrl/shares.go
@@ -40,6 +40,17 @@
 	sh.ledger.Observe(now, sh.plan[self])
 }
 
+// assumeReady takes the other serving instances as ready. It is called before the first plan of an
+// instance that has been running for longer than TakeDelay: it takes the place of one that failed, and
+// calls that it passes on are served, while calls that it keeps would wait for its own slots.
+func (sh *shares) assumeReady(now time.Duration, self ident.InstanceID, serving []place.Node) {
+	for _, n := range serving {
+		if n.ID != self {
+			sh.since[n.ID] = now - limit.TakeDelay
+		}
+	}
+}
+
 func (sh *shares) replan(now time.Duration, s *service, serving []place.Node) {
 	sh.table, sh.listing, sh.serving = s.table, s.listing, serving
 	var servers []roster.Server
--- a/goldcreststand/internal/ctrl/shares_test.go
+++ b/goldcreststand/internal/ctrl/shares_test.go
@@ -168,3 +168,20 @@
 	require.True(t, last.Local)
 	require.Len(t, last.Entries, 4)
 }
+
+// Guards against an instance that takes the place of a failed one and keeps calls before it has slots: a
+// run with an instance that froze for 12 s showed a quarter of the calls rejected for two seconds.
+func TestSubstitutePassesCallsOn(t *testing.T) {
+	tb, list := &table.Table{Service: "svc", Revision: 1}, listing(18, 4)
+	st := fleetOf(4, list, tb)[1]
+	st.services, st.names = make(map[ident.ServiceName]*service), nil
+	st.boot = time.Second
+	st.snapshot()
+	st.boot += 2 * limit.TakeDelay
+	TableSeen{Table: tb}.apply(st)
+	ListingSeen{Listing: list}.apply(st)
+	s := st.snapshot().Services["svc"]
+	require.True(t, s.Joining)
+	require.False(t, s.Local)
+	require.Len(t, s.Entries, 3)
+}
--- a/goldcreststand/internal/ctrl/state.go
+++ b/goldcreststand/internal/ctrl/state.go
@@ -129,7 +129,11 @@
 		return out
 	}
 	out.Revision = s.table.Revision
-	s.shares.update(st.boot, st.self.ID, s, limit.Serving(s.table, st.serving(n, s)))
+	serving := limit.Serving(s.table, st.serving(n, s))
+	if s.shares.plan == nil && st.boot-st.started >= limit.TakeDelay {
+		s.shares.assumeReady(st.boot, st.self.ID, serving)
+	}
+	s.shares.update(st.boot, st.self.ID, s, serving)
 	s.backends.follow(s, st.now)
 	ready := s.shares.ready(st.boot, st.self.ID)
 	out.Entries = st.entries(ready)
