goldctl: change values through the platform's writer

Cause: the client had its own read-modify-write loops beside plat.Writer's Update, with other rules after a conflict. Change: edits and roll-backs use Update; a conflict and an unknown outcome get their exit codes in one place. Ruled out: keeping apply's own write (it must not start over after a conflict). Conclusion: one loop decides about conflicts and lost responses.

--- a/goldctl/internal/cmd/backcmd.go
+++ b/goldctl/internal/cmd/backcmd.go
@@ -33,16 +33,6 @@
 	if err := f.check(); err != nil {
 		return err
 	}
-	var err error
-	for range maxTries {
-		if err = cfg.tryBack(ctx, f); !plat.ErrConflict.Has(err) {
-			return err
-		}
-	}
-	return cli.Exit(cli.ExitConflict, err)
-}
-
-func (cfg *Config) tryBack(ctx context.Context, f backFlags) error {
 	t, _, err := f.read(ctx)
 	if err != nil {
 		return err
@@ -50,18 +40,27 @@
 	if t.Move == nil {
 		return fmt.Errorf("%s has had no version rollout", t.Service)
 	}
-	st, tag, err := f.readStatus(ctx)
+	next := &wire.Status{Attempt: t.Move.Attempt, Outcome: wire.StatusOutcomeReverted, Reason: "rolled back by " + f.author}
+	st, err := update(ctx, &f.target, f.statusPath(), plat.JudgeStatus, func(old *wire.Status) (*wire.Status, error) {
+		if old == nil || old.Attempt < next.Attempt {
+			return next, nil
+		}
+		if old.Attempt > next.Attempt {
+			return nil, fmt.Errorf("rollout %d has been followed by rollout %d", next.Attempt, old.Attempt)
+		}
+		if old.Outcome == wire.StatusOutcomeReverted {
+			return nil, nil
+		}
+		next.Stage = old.Stage
+		return next, nil
+	})
 	if err != nil {
 		return err
 	}
-	if st.Attempt == t.Move.Attempt && st.Outcome == wire.StatusOutcomeReverted {
+	if st != next {
 		_, _ = fmt.Fprintf(cfg.Out, "%s: rollout %d is rolled back already: %s\n", t.Service, st.Attempt, st.Reason)
 		return nil
 	}
-	next := wire.Status{Attempt: t.Move.Attempt, Outcome: wire.StatusOutcomeReverted, Stage: st.Stage, Reason: "rolled back by " + f.author}
-	if err := f.writeStatus(ctx, tag, &next); err != nil {
-		return err
-	}
-	_, _ = fmt.Fprintf(cfg.Out, "%s: rollout %d is rolled back\n", t.Service, next.Attempt)
+	_, _ = fmt.Fprintf(cfg.Out, "%s: rollout %d is rolled back\n", t.Service, st.Attempt)
 	return nil
 }
--- a/goldctl/internal/cmd/edit.go
+++ b/goldctl/internal/cmd/edit.go
@@ -5,15 +5,15 @@
 	"fmt"
 	"strings"
 
+	"github.com/jonboulle/clockwork"
+
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/table"
 	"goldcreststand.example/lib/cli"
 	"goldcreststand.example/lib/plat"
+	"goldcreststand.example/schema/wire"
 )
 
-// maxTries bounds the tries of an edit of single rows that meets edits by others.
-const maxTries = 10
-
 // usagef returns an error that ends the program with cli.ExitUsage.
 func usagef(format string, args ...any) error {
 	return cli.Exit(cli.ExitUsage, fmt.Errorf(format, args...))
@@ -22,24 +22,36 @@
 // edit reads the table, changes it and writes it. When another edit comes in between, it starts over,
 // so change must stand for an intention that holds whatever the others edited.
 func (t *target) edit(ctx context.Context, change func(*table.Table) (*table.Table, error)) (*table.Table, error) {
-	var err error
-	for range maxTries {
-		var old, next *table.Table
-		var tag plat.Tag
-		if old, tag, err = t.read(ctx); err != nil {
-			return nil, err
-		}
-		if next, err = change(old); err != nil {
-			return nil, err
-		}
-		if err = t.write(ctx, tag, next); err == nil {
-			return next, nil
+	name, err := t.name()
+	if err != nil {
+		return nil, err
+	}
+	out, err := update(ctx, t, t.path(), plat.JudgeTable, func(old *wire.Table) (*wire.Table, error) {
+		current := &table.Table{Service: name}
+		if old != nil {
+			current = old.Core()
 		}
-		if !plat.ErrConflict.Has(err) {
+		next, err := change(current)
+		if err != nil {
 			return nil, err
 		}
+		return wire.FromTable(next), nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return out.Core(), nil
+}
+
+// update changes a value of the platform with plat.Writer and gives its errors their exit codes.
+func update[T any](ctx context.Context, t *target, path string, judge func(stored, written *T) plat.Verdict, change func(*T) (*T, error)) (*T, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	out, err := plat.NewWriter(t.client(), clockwork.NewRealClock(), judge).Update(ctx, path, change)
+	if plat.ErrConflict.Has(err) {
+		return nil, cli.Exit(cli.ExitConflict, err)
 	}
-	return nil, cli.Exit(cli.ExitConflict, err)
+	return out, exitUnknown(err)
 }
 
 // conflict describes who changed which rows after the base revision.
--- a/goldctl/internal/cmd/rollout.go
+++ b/goldctl/internal/cmd/rollout.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/jonboulle/clockwork"
-
 	"goldcreststand.example/core/table"
 	"goldcreststand.example/lib/plat"
 	"goldcreststand.example/schema/wire"
@@ -28,15 +26,6 @@
 	return st, nil
 }
 
-// writeStatus stores the status when the stored one still has the tag. When the platform's response is lost
-// it finds out whether the status was accepted.
-func (t *target) writeStatus(ctx context.Context, tag plat.Tag, st *wire.Status) error {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	w := plat.NewWriter(t.client(), clockwork.NewRealClock(), plat.JudgeStatus)
-	return exitUnknown(w.Write(ctx, t.statusPath(), tag, st))
-}
-
 // readStatus returns the stored status and its tag; an absent one has an empty tag.
 func (t *target) readStatus(ctx context.Context) (wire.Status, plat.Tag, error) {
 	var st wire.Status
