goldctl, admin, stats: show what each instance rejected and why

Cause: status showed what is in force, but not which calls are rejected. A call whose caller went away counts as gone. Ruled out: reading /debug/vars from the client (its form is for machines that collect metrics). Conclusion: an operator sees from one command where calls are turned away.

--- a/goldcreststand/internal/admin/handler.go
+++ b/goldcreststand/internal/admin/handler.go
@@ -12,6 +12,7 @@
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/member"
 	"goldcreststand.example/core/route"
+	"goldcreststand.example/lib/stats"
 	"goldcreststand.example/schema/wire"
 )
 
@@ -23,16 +24,22 @@
 	Members() []member.Record
 }
 
+// Metrics gives what traffic has counted.
+type Metrics interface {
+	Rejections() []stats.Rejection
+}
+
 // Handler serves operators.
 type Handler struct {
 	id      ident.InstanceID
 	domain  ident.DomainName
 	control Control
+	metrics Metrics
 }
 
 // New returns the HTTP interface for operators.
-func New(id ident.InstanceID, domain ident.DomainName, c Control) http.Handler {
-	h := &Handler{id: id, domain: domain, control: c}
+func New(id ident.InstanceID, domain ident.DomainName, c Control, m Metrics) http.Handler {
+	h := &Handler{id: id, domain: domain, control: c, metrics: m}
 	e := echo.New()
 	e.GET("/status", h.status)
 	e.GET("/livez", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
@@ -42,7 +49,7 @@
 }
 
 func (h *Handler) status(c echo.Context) error {
-	v := wire.View{ID: h.id, Domain: h.domain, State: wire.ViewStateStarting, Tables: []wire.InForce{}, Members: []wire.Member{}}
+	v := wire.View{ID: h.id, Domain: h.domain, State: wire.ViewStateStarting, Tables: []wire.InForce{}, Members: []wire.Member{}, Rejected: []wire.Rejected{}}
 	for _, s := range h.control.Load().Services {
 		v.Tables = append(v.Tables, inForce(s))
 	}
@@ -56,6 +63,9 @@
 	for _, r := range h.control.Members() {
 		v.Members = append(v.Members, wire.FromMember(r))
 	}
+	for _, r := range h.metrics.Rejections() {
+		v.Rejected = append(v.Rejected, wire.Rejected{Service: ident.ServiceName(r.Service), Cause: r.Cause, Calls: int(r.Calls)})
+	}
 	return c.JSON(http.StatusOK, v)
 }
 
--- a/goldcreststand/internal/cmd/daemon.go
+++ b/goldcreststand/internal/cmd/daemon.go
@@ -83,7 +83,7 @@
 	d.start(control, sock)
 	err = serveAll(d.leaving(ctx, control), []*listener{
 		newListener("traffic", d.settings.Traffic.Address.String(), d.traffic),
-		newListener("admin", d.settings.Admin.Address.String(), admin.New(d.settings.Name, d.settings.Domain, d.loop)),
+		newListener("admin", d.settings.Admin.Address.String(), admin.New(d.settings.Name, d.settings.Domain, d.loop, d.metrics)),
 	}, d.settings.Traffic.Drain.Std(), logs.Part(d.log, "serve"))
 	stop()
 	d.wait()
--- a/goldcreststand/internal/proxy/forward.go
+++ b/goldcreststand/internal/proxy/forward.go
@@ -71,7 +71,7 @@
 		x.close()
 		h.metrics.Observe(stats.Sample{
 			Tenant: string(call.tenant), Class: strconv.Itoa(int(call.class)), Service: string(call.service),
-			Result: x.result, Latency: h.clock.Since(x.start),
+			Result: x.result, Cause: x.cause, Latency: h.clock.Since(x.start),
 		})
 	}()
 	req := c.Request()
--- a/goldcreststand/internal/proxy/run.go
+++ b/goldcreststand/internal/proxy/run.go
@@ -59,6 +59,8 @@
 	resp   *http.Response
 	err    error
 	result string
+	// cause is the error type of a rejected call.
+	cause string
 }
 
 func (x *run) now() time.Time { return x.h.clock.Now() }
@@ -86,7 +88,7 @@
 	x.timer = x.h.clock.AfterFunc(x.deadline.Sub(x.now()), func() { x.cancel(errDeadline) })
 	x.unwatch = context.AfterFunc(out.Context(), func() { x.cancel(errGone) })
 	if err := x.admit(); err != nil {
-		x.result = "rejected"
+		x.reject(err)
 		return nil, err
 	}
 	x.core = retry.New(x.policy(), x.svc.budget, x.deadline)
@@ -104,7 +106,7 @@
 }
 
 // admit waits for the place of the first try. Without one the call was not executed.
-func (x *run) admit() error {
+func (x *run) admit() *verdict {
 	var err error
 	x.first, err = x.targets.first(x.ctx)
 	var rejected *RejectError
@@ -121,6 +123,15 @@
 	}
 }
 
+// reject notes for the metrics that the call is rejected.
+func (x *run) reject(v *verdict) {
+	if v.cause == retry.CauseGone {
+		x.result = "gone"
+		return
+	}
+	x.result, x.cause = "rejected", rejectError(v.cause)
+}
+
 // policy returns what the call allows. The instance at the end of an extra hop sends the hedges.
 func (x *run) policy() retry.Policy {
 	p := retry.Policy{Idempotent: x.call.idempotent, Tries: maxTries}
@@ -176,7 +187,9 @@
 		case retry.Return:
 			x.returned(x.tries[a.Try-1])
 		case retry.Reject:
-			x.err, x.result = &verdict{cause: a.Cause}, "rejected"
+			v := &verdict{cause: a.Cause}
+			x.reject(v)
+			x.err = v
 		case retry.Unknown:
 			x.err, x.result = &verdict{cause: a.Cause, executed: true}, "unknown"
 		}
--- a/goldctl/internal/cmd/statuscmd.go
+++ b/goldctl/internal/cmd/statuscmd.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 
 	"goldcreststand.example/lib/cli"
 	"goldcreststand.example/schema/wire"
@@ -18,7 +19,7 @@
 	var f statusFlags
 	return &cli.Command{
 		Name:  "status",
-		Short: "print which instances are live and which revisions they have in force",
+		Short: "print which revisions each instance has in force, and which calls it rejected and why",
 		Flags: func(fs *flag.FlagSet) {
 			f.fleetFlags.register(fs)
 			f.outputFlags.register(fs, "table (default) or json")
@@ -50,10 +51,30 @@
 	if f.output == "json" {
 		err = printJSON(cfg.Out, views)
 	} else {
-		err = g.print(cfg.Out)
+		err = printStatus(cfg.Out, g, views)
 	}
 	if err == nil && silent > 0 {
 		err = fmt.Errorf("%d of %d instances gave no answer", silent, len(fl))
 	}
 	return err
 }
+
+// printStatus prints what is in force, and below it the rejected calls if there are any.
+func printStatus(w io.Writer, inForce *grid, views []wire.View) error {
+	if err := inForce.print(w); err != nil {
+		return err
+	}
+	g := newGrid("INSTANCE", "SERVICE", "REJECTED", "CAUSE")
+	for _, v := range views {
+		for _, r := range v.Rejected {
+			g.add(v.ID, r.Service, r.Calls, r.Cause)
+		}
+	}
+	if len(g.lines) == 1 {
+		return nil
+	}
+	if _, err := fmt.Fprintln(w); err != nil {
+		return err
+	}
+	return g.print(w)
+}
--- a/lib/stats/set_test.go
+++ b/lib/stats/set_test.go
@@ -43,3 +43,15 @@
 		}
 	})
 }
+
+// Guards against rejected calls that operators cannot tell apart by service and cause.
+func TestRejections(t *testing.T) {
+	s := stats.New()
+	for _, cause := range []string{"connection_refused", "", "connection_limit_reached", "connection_limit_reached"} {
+		s.Observe(stats.Sample{Service: "inventory", Result: "x", Cause: cause})
+	}
+	require.Equal(t, []stats.Rejection{
+		{Service: "inventory", Cause: "connection_limit_reached", Calls: 2},
+		{Service: "inventory", Cause: "connection_refused", Calls: 1},
+	}, s.Rejections())
+}
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -979,6 +979,49 @@
 	return nil
 }
 
+// Rejected counts the calls of a service that an instance rejected as not executed
+// since its start.
+type Rejected struct {
+	// Calls that were rejected.
+	Calls int `json:"calls"`
+
+	// Error type of the Proxy-Status header (RFC 9209).
+	Cause string `json:"cause"`
+
+	// Service that the table is for.
+	Service ident.ServiceName `json:"service"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Rejected) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["calls"]; raw != nil && !ok {
+		return fmt.Errorf("field calls in Rejected: required")
+	}
+	if _, ok := raw["cause"]; raw != nil && !ok {
+		return fmt.Errorf("field cause in Rejected: required")
+	}
+	if _, ok := raw["service"]; raw != nil && !ok {
+		return fmt.Errorf("field service in Rejected: required")
+	}
+	type Plain Rejected
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Calls {
+		return fmt.Errorf("field %s: must be >= %v", "calls", 0)
+	}
+	if utf8.RuneCountInString(string(plain.Cause)) > 64 {
+		return fmt.Errorf("field %s length: must be <= %d", "cause", 64)
+	}
+	*j = Rejected(plain)
+	return nil
+}
+
 // Removal remembers who removed a row.
 type Removal struct {
 	// Operator who removed the row.
@@ -1524,6 +1567,9 @@
 	// Known instances.
 	Members []Member `json:"members,omitempty,omitzero"`
 
+	// Rejected calls by service and cause.
+	Rejected []Rejected `json:"rejected"`
+
 	// State of the instance.
 	State ViewState `json:"state"`
 
@@ -1575,6 +1621,9 @@
 	if _, ok := raw["id"]; raw != nil && !ok {
 		return fmt.Errorf("field id in View: required")
 	}
+	if _, ok := raw["rejected"]; raw != nil && !ok {
+		return fmt.Errorf("field rejected in View: required")
+	}
 	if _, ok := raw["state"]; raw != nil && !ok {
 		return fmt.Errorf("field state in View: required")
 	}
