core, lib, goldctl, fakebackend: call the pieces that exist already

Cause: a reading of the whole change found logic that stood twice. Change: the two events of an arriving response share respond; the leaves of a schema error are found by conf.Leaves in conf and plat; the holders of a server's slots are limit.Holders, from which limit.Owner follows; goldctl and fakebackend read lists through plat's List and Instances. An option of the peer link that nothing used is removed. Ruled out: one type for the adapters' posters (fetch, report and beat differ in what they do before Run); shares.assumeReady as a part of since, which would need the time at which each member became live. Conclusion: each of these rules has one place.

--- a/core/limit/splitter.go
+++ b/core/limit/splitter.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"slices"
 
 	"goldcreststand.example/core/ident"
@@ -17,19 +18,28 @@
 	Split(s ident.ServiceName, caps []Cap, nodes []place.Node) map[ident.InstanceID]Shares
 }
 
-// Owner returns the instance with the largest share at the server, the first of the nodes among equals,
-// and "" when none has a share. A server in warm-up gets its calls from its owner.
-func Owner(plan map[ident.InstanceID]Shares, nodes []place.Node, id ident.ServerID) ident.InstanceID {
-	var out ident.InstanceID
-	var most ident.Slots
+// Holders returns the instances with a share at the server, the one with the largest share first and equals
+// in the order of the nodes.
+func Holders(plan map[ident.InstanceID]Shares, nodes []place.Node, id ident.ServerID) []ident.InstanceID {
+	var out []ident.InstanceID
 	for _, n := range nodes {
-		if k := plan[n.ID][id]; k > most {
-			out, most = n.ID, k
+		if plan[n.ID][id] > 0 {
+			out = append(out, n.ID)
 		}
 	}
+	slices.SortStableFunc(out, func(a, b ident.InstanceID) int { return cmp.Compare(plan[b][id], plan[a][id]) })
 	return out
 }
 
+// Owner returns the first of the holders, and "" when there is none. A server in warm-up gets its calls
+// from its owner.
+func Owner(plan map[ident.InstanceID]Shares, nodes []place.Node, id ident.ServerID) ident.InstanceID {
+	if h := Holders(plan, nodes, id); len(h) > 0 {
+		return h[0]
+	}
+	return ""
+}
+
 // Spread gives every instance slots at every server. Slots that do not divide evenly go to instances
 // in the server's placement order.
 type Spread struct{}
--- a/core/retry/call.go
+++ b/core/retry/call.go
@@ -103,6 +103,22 @@
 	return !c.final
 }
 
+// respond notes that the head of a response arrived, and reports whether the call can still use it. A
+// response that comes too late is discarded.
+func (c *Call) respond(n Try) bool {
+	t := c.try(n)
+	if t == nil || t.ended {
+		return false
+	}
+	c.executed = true
+	if c.closing == CauseNone && !c.final {
+		return true
+	}
+	c.drop(n)
+	c.settle()
+	return false
+}
+
 // mayResend reports whether another try is allowed.
 func (c *Call) mayResend(at time.Time) bool {
 	return !c.final && c.closing == CauseNone && !c.exhausted && !c.spent && len(c.tries) < c.policy.Tries && at.Before(c.deadline)
--- a/core/retry/event.go
+++ b/core/retry/event.go
@@ -123,27 +123,13 @@
 }
 
 func (e Responded) apply(c *Call) {
-	if t := c.try(e.Try); t == nil || t.ended {
-		return
-	}
-	c.executed = true
-	if c.closing != CauseNone || c.final {
-		c.drop(e.Try)
-		c.settle()
-		return
+	if c.respond(e.Try) {
+		c.win(e.Try)
 	}
-	c.win(e.Try)
 }
 
 func (e Failed) apply(c *Call) {
-	t := c.try(e.Try)
-	if t == nil || t.ended {
-		return
-	}
-	c.executed = true
-	if c.closing != CauseNone || c.final {
-		c.drop(e.Try)
-		c.settle()
+	if !c.respond(e.Try) {
 		return
 	}
 	c.spent = c.spent || e.Spent
--- a/fakebackend/internal/cmd/register.go
+++ b/fakebackend/internal/cmd/register.go
@@ -22,9 +22,11 @@
 func register(ctx context.Context, platform string, service ident.ServiceName, servers []wire.Server) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	list := wire.Listing{Service: service}
-	path := plat.InstancesPath(string(service))
-	if _, err := plat.New(platform, registerTimeout).Get(ctx, path, &list); err != nil && !plat.ErrNotFound.Has(err) {
+	list, _, err := plat.New(platform, registerTimeout).Instances(ctx, service)
+	if plat.ErrNotFound.Has(err) {
+		list, err = &wire.Listing{Service: service}, nil
+	}
+	if err != nil {
 		return err
 	}
 	list.Revision++
@@ -32,11 +34,11 @@
 		return slices.ContainsFunc(servers, func(x wire.Server) bool { return x.ID == s.ID })
 	})
 	list.Servers = append(list.Servers, servers...)
-	b, err := json.Marshal(&list)
+	b, err := json.Marshal(list)
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, platform+"/control"+path, bytes.NewReader(b))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, platform+"/control"+plat.InstancesPath(string(service)), bytes.NewReader(b))
 	if err != nil {
 		return err
 	}
--- a/goldcreststand/internal/ctrl/backends.go
+++ b/goldcreststand/internal/ctrl/backends.go
@@ -1,7 +1,6 @@
 package ctrl
 
 import (
-	"cmp"
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +9,7 @@
 	"goldcreststand.example/core/canary"
 	"goldcreststand.example/core/health"
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/limit"
 	"goldcreststand.example/core/place"
 	"goldcreststand.example/core/probe"
 	"goldcreststand.example/core/roster"
@@ -65,19 +65,10 @@
 	c.tracker.SetHolders(s.shares.holders, now)
 }
 
-// holders returns the instances with slots at the server, the one with the most first. That is the owner by
-// limit.Owner, which warms the server up.
+// holders returns the instances with slots at the server. The first one is the owner by limit.Owner, which
+// warms the server up.
 func (sh *shares) holders(id ident.ServerID) []ident.InstanceID {
-	var out []ident.InstanceID
-	for _, n := range sh.serving {
-		if sh.plan[n.ID][id] > 0 {
-			out = append(out, n.ID)
-		}
-	}
-	slices.SortStableFunc(out, func(a, b ident.InstanceID) int {
-		return cmp.Compare(sh.plan[b][id], sh.plan[a][id])
-	})
-	return out
+	return limit.Holders(sh.plan, sh.serving, id)
 }
 
 // admit lowers the server's share to its verdict and reports whether it takes work.
--- a/goldcreststand/internal/peer/peer.go
+++ b/goldcreststand/internal/peer/peer.go
@@ -50,9 +50,6 @@
 // WithMaximum sets the size of the largest message.
 func WithMaximum(n ident.Bytes) Option { return func(p *Peer) { p.maximum = n } }
 
-// WithIdle sets the time without a message after which a connection is closed.
-func WithIdle(d time.Duration) Option { return func(p *Peer) { p.idle = d } }
-
 // Peer is both ends of the link between instances: it serves requests and sends them.
 type Peer struct {
 	clock   clockwork.Clock
--- a/goldctl/internal/cmd/platform.go
+++ b/goldctl/internal/cmd/platform.go
@@ -96,11 +96,8 @@
 
 // services returns the names of all services that have a routing table.
 func (f *platformFlags) services(ctx context.Context) ([]string, error) {
-	var k wire.Keys
-	if _, err := f.client().Get(ctx, "/objects/"+collectionTables, &k); err != nil {
-		return nil, err
-	}
-	return k.Names, nil
+	names, _, err := f.client().List(ctx, collectionTables)
+	return names, err
 }
 
 // authorFlags names the operator.
--- a/lib/conf/loader.go
+++ b/lib/conf/loader.go
@@ -89,7 +89,7 @@
 	}
 	at := places(text)
 	var out Findings
-	for _, leaf := range leaves(invalid) {
+	for _, leaf := range Leaves(invalid) {
 		out = append(out, l.leafFindings(file, at, leaf)...)
 	}
 	return out.sorted()
@@ -107,17 +107,6 @@
 	return Findings{at.finding(file, leaf.InstanceLocation, leaf.ErrorKind.LocalizedString(l.printer))}
 }
 
-func leaves(e *jsonschema.ValidationError) []*jsonschema.ValidationError {
-	if len(e.Causes) == 0 {
-		return []*jsonschema.ValidationError{e}
-	}
-	var out []*jsonschema.ValidationError
-	for _, c := range e.Causes {
-		out = append(out, leaves(c)...)
-	}
-	return out
-}
-
 // merge lays the values of src over those of dst.
 func merge(dst, src map[string]any) {
 	for k, v := range src {
--- a/lib/plat/decode.go
+++ b/lib/plat/decode.go
@@ -15,6 +15,7 @@
 
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/table"
+	"goldcreststand.example/lib/conf"
 	"goldcreststand.example/schema"
 	"goldcreststand.example/schema/wire"
 )
@@ -105,19 +106,8 @@
 	}
 	p := message.NewPrinter(language.English)
 	var out []string
-	for _, l := range leaves(invalid) {
+	for _, l := range conf.Leaves(invalid) {
 		out = append(out, "/"+strings.Join(l.InstanceLocation, "/")+": "+l.ErrorKind.LocalizedString(p))
 	}
 	return strings.Join(out[:min(maxPlaces, len(out))], "; ")
 }
-
-func leaves(e *jsonschema.ValidationError) []*jsonschema.ValidationError {
-	if len(e.Causes) == 0 {
-		return []*jsonschema.ValidationError{e}
-	}
-	var out []*jsonschema.ValidationError
-	for _, c := range e.Causes {
-		out = append(out, leaves(c)...)
-	}
-	return out
-}
