--- a/core/place/place.go
+++ b/core/place/place.go
@@ -35,10 +35,51 @@
 	return spread(cs)
 }
 
+// First returns the first count nodes in placement order for the key, without sorting the others.
+func First(key string, nodes []Node, count int) []Node {
+	if count >= len(nodes) {
+		return Order(key, nodes)
+	}
+	scores := make([]uint64, len(nodes))
+	for i, n := range nodes {
+		scores[i] = score(key, n.ID)
+	}
+	out := make([]Node, 0, count)
+	taken := make([]bool, len(nodes))
+	for len(out) < count {
+		best, least := -1, 0
+		for i, n := range nodes {
+			if taken[i] {
+				continue
+			}
+			r := inDomain(out, n.Domain)
+			if best < 0 || r < least || r == least && before(scores[i], n, scores[best], nodes[best]) {
+				best, least = i, r
+			}
+		}
+		taken[best] = true
+		out = append(out, nodes[best])
+	}
+	return out
+}
+
+// inDomain returns the number of the nodes that are in the failure domain.
+func inDomain(nodes []Node, d ident.DomainName) int {
+	count := 0
+	for _, n := range nodes {
+		if n.Domain == d {
+			count++
+		}
+	}
+	return count
+}
+
+// before reports whether the first node comes before the second one in their domain.
+func before(s uint64, n Node, t uint64, m Node) bool { return s > t || s == t && n.ID < m.ID }
+
 // Serving returns the first count nodes in placement order of the service.
 func Serving(s ident.ServiceName, nodes []Node, count int) []Node {
-	order := Order(string(s), nodes)
-	return order[:min(count, len(order))]
+	return First(string(s), nodes, count)
 }
 
 func score(key string, id ident.InstanceID) uint64 {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -40,6 +40,8 @@
 		ns := nodes(rapid.IntRange(2, 40).Draw(t, "nodes"))
 		key := rapid.StringMatching("[a-z]{1,8}").Draw(t, "key")
 		order := place.Order(key, ns)
+		count := rapid.IntRange(0, len(ns)).Draw(t, "count")
+		require.Equal(t, order[:count], place.First(key, ns, count))
 		require.Equal(t, order, place.Order(key, rapid.Permutation(ns).Draw(t, "permutation")))
 		gone := rapid.SampledFrom(ns).Draw(t, "gone")
 		before := place.Serving(ident.ServiceName(key), ns, len(ns))
--- a/core/ring/ring.go
+++ b/core/ring/ring.go
@@ -29,6 +29,8 @@
 	// Traffic is the address for callers, Peer the one for other instances.
 	Traffic netip.AddrPort
 	Peer    netip.AddrPort
+	// Link is the capacity of the machine's link, 0 when it is not known.
+	Link ident.Megabits
 }
 
 // Watch is the state of one instance's watch over its successors. It is not safe for concurrent use.
--- a/goldcreststand/internal/cmd/kinds.go
+++ b/goldcreststand/internal/cmd/kinds.go
@@ -27,9 +27,10 @@
 
 // kind is one kind of objects of the store.
 type kind interface {
-	export() (json.RawMessage, ident.Revision, error)
+	known() ident.Revision
+	export(from ident.Revision) (json.RawMessage, ident.Revision, error)
 	read(raw json.RawMessage) (hub.Event, error)
-	follower(k hub.Kind, p feed.Poster, g *feed.Gate, clock clockwork.Clock) runner
+	follower(k hub.Kind, p feed.Poster, g *feed.Gate, on *feed.Switch, clock clockwork.Clock) runner
 }
 
 // typed is a kind whose objects have type T.
@@ -39,54 +40,88 @@
 	pace       time.Duration
 }
 
-func (t typed[T]) export() (json.RawMessage, ident.Revision, error) { return t.collection.Export() }
+func (t typed[T]) known() ident.Revision { return t.collection.Known() }
+
+func (t typed[T]) export(from ident.Revision) (json.RawMessage, ident.Revision, error) {
+	return t.collection.Export(from)
+}
 
 func (t typed[T]) read(raw json.RawMessage) (hub.Event, error) {
-	b, err := t.collection.Import(raw)
-	return t.event(b), err
+	b, newer, err := t.collection.Import(raw)
+	if err != nil || !newer {
+		return nil, err
+	}
+	return t.event(b), nil
 }
 
-func (t typed[T]) follower(k hub.Kind, p feed.Poster, g *feed.Gate, clock clockwork.Clock) runner {
-	return feed.New(k, t.collection, t.event, p, g, clock, t.pace)
+func (t typed[T]) follower(k hub.Kind, p feed.Poster, g *feed.Gate, on *feed.Switch, clock clockwork.Clock) runner {
+	return feed.New(k, t.collection, t.event, p, g, on, clock, t.pace)
 }
 
 // kinds holds all kinds that control follows.
-type kinds map[hub.Kind]kind
+type kinds struct {
+	news     *site.News
+	all      map[hub.Kind]kind
+	switches map[hub.Kind]*feed.Switch
+}
 
-var _ mesh.Copies = kinds(nil)
+var _ mesh.Copies = (*kinds)(nil)
 
-func newKinds(c *site.Client, clock clockwork.Clock) kinds {
-	return kinds{
+func newKinds(c *site.Client, clock clockwork.Clock) *kinds {
+	n := site.NewNews()
+	ks := &kinds{news: n, switches: make(map[hub.Kind]*feed.Switch)}
+	for _, k := range hub.KindValues() {
+		ks.switches[k] = feed.NewSwitch()
+	}
+	ks.all = map[hub.Kind]kind{
 		hub.KindConfig: typed[*rules.Config]{
-			site.Configs(c), func(b store.Batch[*rules.Config]) hub.Event { return hub.Configs{Batch: b} }, configPace,
+			site.Configs(c, n), func(b store.Batch[*rules.Config]) hub.Event { return hub.Configs{Batch: b} }, configPace,
 		},
 		hub.KindServers: typed[roster.Entry]{
-			site.Servers(c), func(b store.Batch[roster.Entry]) hub.Event { return hub.Servers{Batch: b} }, listPace,
+			site.Servers(c, n), func(b store.Batch[roster.Entry]) hub.Event { return hub.Servers{Batch: b} }, listPace,
 		},
 		hub.KindOrders: typed[*canary.Order]{
-			site.Orders(c, clock), func(b store.Batch[*canary.Order]) hub.Event { return hub.Orders{Batch: b} }, listPace,
+			site.Orders(c, n, clock), func(b store.Batch[*canary.Order]) hub.Event { return hub.Orders{Batch: b} }, listPace,
 		},
 		hub.KindEvacuations: typed[ident.DomainName]{
-			site.Evacuations(c), func(b store.Batch[ident.DomainName]) hub.Event { return hub.Evacuations{Batch: b} }, listPace,
+			site.Evacuations(c, n), func(b store.Batch[ident.DomainName]) hub.Event { return hub.Evacuations{Batch: b} }, listPace,
 		},
 		hub.KindMembers: typed[ring.Member]{
-			site.Members(c), func(b store.Batch[ring.Member]) hub.Event { return hub.Members{Batch: b} }, listPace,
+			site.Members(c, n), func(b store.Batch[ring.Member]) hub.Event { return hub.Members{Batch: b} }, listPace,
 		},
 	}
+	return ks
 }
 
-// Export returns the objects of a kind in the store's form.
-func (ks kinds) Export(k hub.Kind) (json.RawMessage, ident.Revision, error) { return ks[k].export() }
+// Known returns the revision that the objects of a kind show.
+func (ks *kinds) Known(k hub.Kind) ident.Revision { return ks.all[k].known() }
+
+// Next returns a channel that is closed when a kind changes.
+func (ks *kinds) Next() <-chan struct{} { return ks.news.Next() }
 
-// Import returns the event for objects in the store's form.
-func (ks kinds) Import(k hub.Kind, raw json.RawMessage) (hub.Event, error) { return ks[k].read(raw) }
+// Export returns the objects of a kind that changed after the revision, in the store's form.
+func (ks *kinds) Export(k hub.Kind, from ident.Revision) (json.RawMessage, ident.Revision, error) {
+	return ks.all[k].export(from)
+}
+
+// Import returns the event for objects in the store's form, or nil when they are not newer.
+func (ks *kinds) Import(k hub.Kind, raw json.RawMessage) (hub.Event, error) {
+	return ks.all[k].read(raw)
+}
+
+// watch turns the followers of these kinds on, and the others off.
+func (ks *kinds) watch(a hub.Watch) {
+	for k, s := range ks.switches {
+		s.Set(a.Kinds[k])
+	}
+}
 
 // followers returns what follows the store.
-func (ks kinds) followers(p feed.Poster, clock clockwork.Clock) []runner {
+func (ks *kinds) followers(p feed.Poster, clock clockwork.Clock) []runner {
 	gate := feed.NewGate(clock)
-	out := make([]runner, 0, len(ks))
+	out := make([]runner, 0, len(ks.all))
 	for _, k := range hub.KindValues() {
-		out = append(out, ks[k].follower(k, p, gate, clock))
+		out = append(out, ks.all[k].follower(k, p, gate, ks.switches[k], clock))
 	}
 	return out
 }
--- a/goldcreststand/internal/cmd/node.go
+++ b/goldcreststand/internal/cmd/node.go
@@ -51,6 +51,7 @@
 	pages  []*listener
 	peer   *peer.Peer
 	mesh   *mesh.Mesh
+	kinds  *kinds
 	writes *feed.Writes
 	feeds  []runner
 }
@@ -82,12 +83,12 @@
 		n.pages = append(n.pages, newListener("lookup", s.Listen.Lookup.String(), entry.NewLookup(n.loop, pages)))
 	}
 	client := site.NewClient(s.Store.Address)
-	kinds := newKinds(client, clock)
+	n.kinds = newKinds(client, clock)
 	n.peer = peer.New(clock, quietLog{}, peer.WithTimeout(peerTimeout))
-	n.mesh = mesh.New(self.Member, n.peer, n.loop, kinds, log)
+	n.mesh = mesh.New(self.Member, n.peer, n.loop, n.loop, n.kinds, clock, log)
 	n.mesh.Register(n.peer)
 	n.writes = feed.NewWrites(site.NewWriter(client, clock), n.loop, log)
-	n.feeds = kinds.followers(n.loop, clock)
+	n.feeds = n.kinds.followers(n.loop, clock)
 	return n
 }
 
@@ -104,8 +105,10 @@
 		n.mesh.Ping(a)
 	case hub.Report:
 		n.mesh.Report(a)
-	case hub.Copy:
-		n.mesh.Copy(a)
+	case hub.Follow:
+		n.mesh.Follow(a)
+	case hub.Watch:
+		n.kinds.watch(a)
 	}
 }
 
--- a/goldcreststand/internal/feed/follow.go
+++ b/goldcreststand/internal/feed/follow.go
@@ -37,6 +37,7 @@
 	event  func(store.Batch[T]) hub.Event
 	poster Poster
 	gate   *Gate
+	on     *Switch
 	clock  clockwork.Clock
 	// pace is the time between news and the next call, so that changes in quick succession cost one.
 	pace time.Duration
@@ -44,11 +45,12 @@
 	done chan struct{}
 }
 
-// New returns a follower that has not started. event makes the event for control.
+// New returns a follower that has not started, and calls the store while the switch is on. event makes the event for
+// control.
 func New[T any](
-	k hub.Kind, s Source[T], event func(store.Batch[T]) hub.Event, p Poster, g *Gate, clock clockwork.Clock, pace time.Duration,
+	k hub.Kind, s Source[T], event func(store.Batch[T]) hub.Event, p Poster, g *Gate, on *Switch, clock clockwork.Clock, pace time.Duration,
 ) *Follower[T] {
-	return &Follower[T]{kind: k, source: s, event: event, poster: p, gate: g, clock: clock, pace: pace, done: make(chan struct{})}
+	return &Follower[T]{kind: k, source: s, event: event, poster: p, gate: g, on: on, clock: clock, pace: pace, done: make(chan struct{})}
 }
 
 // Done is closed when Run has returned.
@@ -58,28 +60,39 @@
 func (f *Follower[T]) Run(ctx context.Context) {
 	defer close(f.done)
 	for ctx.Err() == nil {
-		f.gate.Wait(ctx)
-		b, err := f.source.List(ctx)
-		if err != nil {
-			f.failed(ctx, err)
-			continue
+		on, stop := f.on.Wait(ctx)
+		f.lost = false
+		for on.Err() == nil {
+			f.read(on, ctx)
 		}
-		f.succeeded(ctx, b)
-		f.follow(ctx, b.AsOf)
+		stop()
 	}
 }
 
+// read lists the objects, then follows their changes until that fails or the switch is turned off. What was read is
+// posted also then, since the source counts it as known.
+func (f *Follower[T]) read(on, ctx context.Context) {
+	f.gate.Wait(on)
+	b, err := f.source.List(on)
+	if err != nil {
+		f.failed(on, err)
+		return
+	}
+	f.succeeded(ctx, b)
+	f.follow(on, ctx, b.AsOf)
+}
+
 // follow waits for changes until a watch fails or the context ends. What a watch missed that was cut off is
 // certain only from a new list.
-func (f *Follower[T]) follow(ctx context.Context, from ident.Revision) {
-	for ctx.Err() == nil {
-		f.pause(ctx, f.pace)
-		b, err := f.source.Watch(ctx, from, watchWait)
+func (f *Follower[T]) follow(on, ctx context.Context, from ident.Revision) {
+	for on.Err() == nil {
+		f.pause(on, f.pace)
+		b, err := f.source.Watch(on, from, watchWait)
 		switch {
 		case store.ErrExpired.Has(err):
 			return
 		case err != nil:
-			f.failed(ctx, err)
+			f.failed(on, err)
 			return
 		}
 		from = b.AsOf
--- a/goldcreststand/internal/feed/follow_test.go
+++ b/goldcreststand/internal/feed/follow_test.go
@@ -58,8 +58,10 @@
 	s.calls = make(chan string, 16)
 	p := poster{events: make(chan hub.Event, 16)}
 	clock := clockwork.NewRealClock()
+	on := feed.NewSwitch()
+	on.Set(true)
 	f := feed.New(hub.KindEvacuations, s, func(b store.Batch[ident.DomainName]) hub.Event { return hub.Evacuations{Batch: b} },
-		p, feed.NewGate(clock), clock, time.Millisecond)
+		p, feed.NewGate(clock), on, clock, time.Millisecond)
 	ctx, cancel := context.WithCancel(t.Context())
 	go f.Run(ctx)
 	for _, want := range calls {
--- /dev/null
+++ b/goldcreststand/internal/feed/switch.go
@@ -0,0 +1,60 @@
+package feed
+
+import (
+	"context"
+	"sync"
+)
+
+// Switch says whether a follower calls the store. It is safe for concurrent use.
+type Switch struct {
+	mu sync.Mutex
+	// stop ends what runs while the switch is on; it is nil while it is off.
+	stop context.CancelFunc
+	ctx  context.Context
+	// on is closed when the switch is turned on.
+	on chan struct{}
+}
+
+// NewSwitch returns a switch that is off.
+func NewSwitch() *Switch { return &Switch{on: make(chan struct{})} }
+
+// Set turns the switch on or off.
+func (s *Switch) Set(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case on && s.stop == nil:
+		s.ctx, s.stop = context.WithCancel(context.Background())
+		close(s.on)
+	case !on && s.stop != nil:
+		s.stop()
+		s.ctx, s.stop, s.on = nil, nil, make(chan struct{})
+	}
+}
+
+// Wait waits until the switch is on, and returns a context that ends when it is turned off or ctx ends.
+func (s *Switch) Wait(ctx context.Context) (context.Context, context.CancelFunc) {
+	for ctx.Err() == nil {
+		on, off := s.state()
+		if off == nil {
+			inner, cancel := context.WithCancel(ctx)
+			release := context.AfterFunc(on, cancel)
+			return inner, func() { release(); cancel() }
+		}
+		select {
+		case <-off:
+		case <-ctx.Done():
+		}
+	}
+	return ctx, func() {}
+}
+
+// state returns the context of the time for which the switch is on, or else the channel that says when it is.
+func (s *Switch) state() (context.Context, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stop == nil {
+		return nil, s.on
+	}
+	return s.ctx, nil
+}
--- /dev/null
+++ b/goldcreststand/internal/hub/bench_test.go
@@ -0,0 +1,28 @@
+package hub
+
+import (
+	"strconv"
+	"testing"
+
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/roster"
+)
+
+// BenchmarkView measures what a change of the members or servers costs in a large fleet.
+func BenchmarkView(b *testing.B) {
+	s := newBench()
+	for i := range 133 {
+		m := member(ident.InstanceID("i" + strconv.Itoa(i)))
+		m.Domain = ident.DomainName("d" + strconv.Itoa(i%4))
+		s.members = append(s.members, m)
+	}
+	var entries []roster.Entry
+	for i := range 240 {
+		entries = append(entries, entry(ident.ServerID("s"+strconv.Itoa(i)), "v1"))
+	}
+	s.list(true, entries...)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.view()
+	}
+}
--- /dev/null
+++ b/goldcreststand/internal/hub/follow.go
@@ -0,0 +1,185 @@
+package hub
+
+import (
+	"maps"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/relay"
+)
+
+const (
+	// FollowSlack is the time beyond that for which a source waits for news in which its reply comes.
+	FollowSlack = 300 * time.Millisecond
+	// awayDelay is the time without a reply of the store after which others are asked.
+	awayDelay = 200 * time.Millisecond
+	// contactInterval is the time between two questions to instances that may not be members.
+	contactInterval = 500 * time.Millisecond
+	// maxAge bounds the age that an instance tells, which is without end while it has heard nothing.
+	maxAge = time.Minute
+)
+
+type (
+	// Watch asks to follow these kinds in the store, and no others.
+	Watch struct{ Kinds map[Kind]bool }
+
+	// Follow asks an instance for what it knows at a newer revision, and to post Followed.
+	Follow struct {
+		To    netip.AddrPort
+		Known map[Kind]ident.Revision
+		// Wait is the time for which the other instance may wait for news.
+		Wait time.Duration
+	}
+)
+
+func (Watch) action()  {}
+func (Follow) action() {}
+
+// Followed says how a question to another instance ended, and what it told. News holds also when the rest of a reply
+// could not be read.
+type Followed struct {
+	From netip.AddrPort
+	Err  error
+	Standing
+	News []Event
+}
+
+var _ Event = Followed{}
+
+// Standing says how new the store's word is at an instance.
+type Standing struct {
+	// Age is the time since the store's word was new.
+	Age time.Duration
+	// Grace is the time for which servers that are missing may still come back, because the store was away.
+	Grace time.Duration
+}
+
+func (e Followed) apply(st *state) []Action {
+	st.asking = false
+	st.sourceEnded(e)
+	if until := st.now.Add(e.Grace); e.Grace > 0 && until.After(st.grace) {
+		st.grace = until
+	}
+	var out []Action
+	for _, ev := range e.News {
+		out = append(out, ev.apply(st)...)
+	}
+	return append(out, st.follow()...)
+}
+
+// sourceEnded notes whether the source replied.
+func (st *state) sourceEnded(e Followed) {
+	if e.Err == nil {
+		st.course.Replied(e.From, e.Age, st.now)
+		if st.unreached == e.From {
+			st.unreached = netip.AddrPort{}
+		}
+		return
+	}
+	st.course.Failed(e.From, st.now)
+	if st.unreached != e.From {
+		st.unreached = e.From
+		st.belief("source does not reply", logrus.Fields{"source": e.From.String(), "error": e.Err.Error()})
+	}
+}
+
+// follow decides which kinds this instance follows in the store, and whom it asks for the others.
+func (st *state) follow() []Action {
+	var out []Action
+	watches := st.course.Watches(st.now)
+	kinds := make(map[Kind]bool)
+	for _, k := range KindValues() {
+		// The list of members says who watches the store.
+		if watches || k == KindMembers && !st.loaded[k] {
+			kinds[k] = true
+		}
+	}
+	if !maps.Equal(kinds, st.watched) {
+		st.belief("following the store", logrus.Fields{"kinds": len(kinds), "of": len(KindValues()), "heard": st.age().Milliseconds()})
+		st.watched = kinds
+		for k := range st.lost {
+			if !kinds[k] {
+				delete(st.lost, k)
+			}
+		}
+		out = append(out, Watch{Kinds: kinds})
+	}
+	if st.asking || !st.course.Asks() && !st.away() {
+		return out
+	}
+	if to, ok := st.source(); ok {
+		st.asking = true
+		known := make(map[Kind]ident.Revision)
+		for _, k := range KindValues() {
+			known[k] = st.known[k]
+		}
+		out = append(out, Follow{To: to, Known: known, Wait: relay.FollowWait})
+	}
+	return out
+}
+
+// away reports whether this instance has not heard from the store about some kind for a while.
+func (st *state) away() bool {
+	for _, k := range KindValues() {
+		since, lost := st.lost[k]
+		if !lost && !st.loaded[k] {
+			since, lost = st.started, true
+		}
+		if lost && st.now.Sub(since) >= awayDelay {
+			return true
+		}
+	}
+	return false
+}
+
+// source returns the instance to ask next. While no member is known these are the one that pinged this instance last,
+// and those of the settings.
+func (st *state) source() (netip.AddrPort, bool) {
+	if len(st.members) > 0 {
+		return st.course.Source(st.now)
+	}
+	if st.now.Sub(st.started) < awayDelay || st.now.Sub(st.contacted) < contactInterval {
+		return netip.AddrPort{}, false
+	}
+	contacts := st.self.Contacts
+	if st.met.IsValid() {
+		contacts = append([]netip.AddrPort{st.met}, contacts...)
+	}
+	if len(contacts) == 0 {
+		return netip.AddrPort{}, false
+	}
+	st.contacted = st.now
+	st.turn++
+	return contacts[st.turn%len(contacts)], true
+}
+
+// age returns the time since the store's word was new at this instance.
+func (st *state) age() time.Duration {
+	heard := st.course.Heard()
+	if own, ok := st.spoken(); ok && own.After(heard) {
+		heard = own
+	}
+	return st.now.Sub(heard)
+}
+
+// spoken returns the time until which the store itself told this instance of all kinds.
+func (st *state) spoken() (time.Time, bool) {
+	at := st.now
+	for _, k := range KindValues() {
+		if !st.watched[k] || !st.loaded[k] {
+			return at, false
+		}
+		if since, lost := st.lost[k]; lost && since.Before(at) {
+			at = since
+		}
+	}
+	return at, true
+}
+
+// standing returns what this instance tells those that follow it.
+func (st *state) standing() Standing {
+	return Standing{Age: min(st.age(), maxAge), Grace: max(0, st.grace.Sub(st.now))}
+}
--- a/goldcreststand/internal/hub/hub_test.go
+++ b/goldcreststand/internal/hub/hub_test.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"errors"
 	"net/netip"
 	"strconv"
 	"testing"
@@ -27,14 +28,25 @@
 // bench is a control state in virtual time.
 type bench struct {
 	*state
+	// rev is the store's revision.
+	rev ident.Revision
 }
 
+// newBench returns the state of an instance that watches the store.
 func newBench() *bench {
+	b := newStranger()
+	b.join("i1")
+	b.apply(tick{})
+	return b
+}
+
+// newStranger returns the state of an instance that has not read the list of members yet.
+func newStranger() *bench {
 	self := Self{
 		Member: member("i1"),
 		Bounds: Bounds{RetryShare: 200, RetryExtra: 60, RetryWindow: 10 * time.Second, CheckRate: 60},
 	}
-	b := &bench{newState(self, time.Unix(1e6, 0), noLog{})}
+	b := &bench{state: newState(self, time.Unix(1e6, 0), noLog{})}
 	b.apply(Configs{store.Batch[*rules.Config]{Whole: true, Objects: []store.Object[*rules.Config]{{Name: "main", Value: config(1)}}}})
 	b.apply(Orders{store.Batch[*canary.Order]{Whole: true}})
 	b.apply(Evacuations{store.Batch[ident.DomainName]{Whole: true}})
@@ -43,6 +55,27 @@
 
 func (b *bench) apply(ev Event) []Action { return ev.apply(b.state) }
 
+// join posts the list of members.
+func (b *bench) join(ids ...ident.InstanceID) []Action {
+	b.rev++
+	batch := store.Batch[ring.Member]{Whole: true, AsOf: b.rev}
+	for _, id := range ids {
+		batch.Objects = append(batch.Objects, store.Object[ring.Member]{Name: string(id), Revision: b.rev, Value: member(id)})
+	}
+	return b.apply(Members{batch})
+}
+
+// only returns the actions of one type.
+func only[T Action](actions []Action) []T {
+	out := []T{}
+	for _, a := range actions {
+		if a, ok := a.(T); ok {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // wait lets time pass in ticks.
 func (b *bench) wait(d time.Duration) []Action {
 	var out []Action
@@ -55,17 +88,27 @@
 
 // list posts entries of servers.
 func (b *bench) list(whole bool, entries ...roster.Entry) {
-	batch := store.Batch[roster.Entry]{Whole: whole}
+	b.rev++
+	batch := store.Batch[roster.Entry]{Whole: whole, AsOf: b.rev}
 	for _, e := range entries {
-		batch.Objects = append(batch.Objects, store.Object[roster.Entry]{Name: string(e.Server.ID), Value: e})
+		batch.Objects = append(batch.Objects, store.Object[roster.Entry]{Name: string(e.Server.ID), Revision: b.rev, Value: e})
 	}
 	b.apply(Servers{batch})
 }
 
+// unlist posts that servers' entries are gone.
+func (b *bench) unlist(names ...string) {
+	b.rev++
+	b.apply(Servers{store.Batch[roster.Entry]{Removed: names, AsOf: b.rev}})
+}
+
 // order posts an order, with the phase that the store holds when it has begun.
 func (b *bench) order(attempt ident.Attempt, v ident.VersionName, begun bool, p canary.Phase) {
+	b.rev++
 	o := &canary.Order{Service: testService, Attempt: attempt, Version: v, Duration: 16 * time.Second, Begun: begun, Phase: p}
-	b.apply(Orders{store.Batch[*canary.Order]{Objects: []store.Object[*canary.Order]{{Name: string(testService), Value: o}}}})
+	b.apply(Orders{store.Batch[*canary.Order]{
+		Objects: []store.Object[*canary.Order]{{Name: string(testService), Revision: b.rev, Value: o}}, AsOf: b.rev,
+	}})
 }
 
 // pools returns the servers that calls may go to, by their ids.
@@ -85,7 +128,16 @@
 }
 
 func member(id ident.InstanceID) ring.Member {
-	return ring.Member{ID: id, Domain: "d1", Region: "r", Traffic: netip.MustParseAddrPort("10.0.0.1:80")}
+	return ring.Member{ID: id, Domain: "d1", Region: "r", Traffic: netip.MustParseAddrPort("10.0.0.1:80"), Peer: peerOf(id)}
+}
+
+// peerOf returns the address of the instance for others.
+func peerOf(id ident.InstanceID) netip.AddrPort {
+	sum := 0
+	for _, c := range id {
+		sum = 31*sum + int(c)
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(sum >> 8), byte(sum)}), 7)
 }
 
 func config(v ident.Revision) *rules.Config {
@@ -127,7 +179,7 @@
 	b.list(true, entry("s1", "v1"), entry("s2", "v1"), entry("s3", "v1"))
 	leaving.Server.Leaving = true
 	b.list(false, leaving)
-	b.apply(Servers{store.Batch[roster.Entry]{Removed: []string{"s3"}}})
+	b.unlist("s3")
 	stable, _ := b.pools()
 	require.Equal(t, []ident.ServerID{"s1"}, stable)
 }
@@ -155,7 +207,7 @@
 func TestServersThatVanishTogetherAreKept(t *testing.T) {
 	b := newBench()
 	b.list(true, entry("s1", "v1"), entry("s2", "v1"), entry("s3", "v1"), entry("s4", "v1"))
-	b.apply(Servers{store.Batch[roster.Entry]{Removed: []string{"s1", "s2", "s3"}}})
+	b.unlist("s1", "s2", "s3")
 	stable, _ := b.pools()
 	require.Len(t, stable, 4)
 	b.list(false, entry("s2", "v1"))
@@ -164,28 +216,32 @@
 	require.Equal(t, []ident.ServerID{"s2", "s4"}, stable)
 }
 
-// Guards against an instance that starts while the store is away and asks nobody.
-func TestCopiesAreAskedForWhileTheStoreIsAway(t *testing.T) {
-	b := newBench()
+// Guards against an instance that starts while the store is away and asks nobody, or one that goes on asking those that
+// are no members when it knows the members.
+func TestOthersAreAskedWhileTheStoreIsAway(t *testing.T) {
+	b := newStranger()
 	seed, other := netip.MustParseAddrPort("10.0.0.8:1"), netip.MustParseAddrPort("10.0.0.9:1")
 	b.self.Contacts = []netip.AddrPort{seed}
 	ask := func() []netip.AddrPort {
 		var out []netip.AddrPort
-		for _, a := range b.wait(copyInterval + copyDelay) {
-			if a, ok := a.(Copy); ok {
-				require.Contains(t, a.Known, KindServers)
-				require.NotContains(t, a.Known, KindConfig)
-				out = append(out, a.To)
-			}
+		asked := only[Follow](b.wait(contactInterval + awayDelay))
+		for len(asked) > 0 {
+			require.Contains(t, asked[0].Known, KindServers)
+			out = append(out, asked[0].To)
+			asked = only[Follow](b.apply(Followed{From: asked[0].To, Err: errors.New("no reply")}))
 		}
 		return out
 	}
 	require.Contains(t, ask(), seed)
 	b.apply(Met{Peer: other})
 	require.Contains(t, append(ask(), ask()...), other)
+	asked := only[Follow](b.join("i1", "i2"))
+	require.Len(t, asked, 1)
+	require.Equal(t, peerOf("i2"), asked[0].To)
+	require.Empty(t, ask(), "asked while another question is under way")
+	b.apply(Followed{From: peerOf("i2")})
 	b.list(true, entry("s1", "v1"))
-	b.apply(Members{store.Batch[ring.Member]{Whole: true}})
-	require.Empty(t, ask())
+	require.Empty(t, ask(), "asked though the store replies")
 }
 
 // Guards against news on its way that takes back what another instance told since.
@@ -201,7 +257,9 @@
 func TestUnreadableEntryIsSkipped(t *testing.T) {
 	b := newBench()
 	b.list(true, entry("s1", "v1"), entry("s2", "v1"))
-	b.apply(Servers{store.Batch[roster.Entry]{Invalid: []store.Finding{{Name: "s2", Err: store.ErrUnavailable.New("no address")}}}})
+	b.rev++
+	finding := store.Finding{Name: "s2", Revision: b.rev, Err: store.ErrUnavailable.New("no address")}
+	b.apply(Servers{store.Batch[roster.Entry]{Invalid: []store.Finding{finding}, AsOf: b.rev}})
 	stable, _ := b.pools()
 	require.Equal(t, []ident.ServerID{"s1"}, stable)
 }
@@ -290,6 +348,7 @@
 		b := newBench()
 		b.self.Member = m
 		b.members = members
+		clear(b.owner)
 		b.list(true, entry("s1", "v1"))
 		sv := b.view().Services[testService]
 		if d := sv.Stable.Near[0].ColdInterval; d > 0 {
@@ -303,11 +362,14 @@
 // Guards against an instance that nobody finds because its entry was removed while it was cut off.
 func TestMissingEntryIsWrittenAgain(t *testing.T) {
 	b := newBench()
-	require.Equal(t, []Action{Announce{Member: b.self.Member}}, b.apply(Members{store.Batch[ring.Member]{Whole: true}}))
-	own := store.Object[ring.Member]{Name: "i1", Value: b.self.Member}
-	require.Empty(t, b.apply(Members{store.Batch[ring.Member]{Objects: []store.Object[ring.Member]{own}}}))
+	announced := []Announce{{Member: b.self.Member}}
+	b.now = b.now.Add(announceInterval)
+	require.Equal(t, announced, only[Announce](b.join("i2")))
+	require.Empty(t, only[Announce](b.join("i1", "i2")))
 	b.now = b.now.Add(announceInterval)
-	require.Equal(t, []Action{Announce{Member: b.self.Member}}, b.apply(Members{store.Batch[ring.Member]{Removed: []string{"i1"}}}))
+	b.rev++
+	gone := Members{store.Batch[ring.Member]{Removed: []string{"i1"}, AsOf: b.rev}}
+	require.Equal(t, announced, only[Announce](b.apply(gone)))
 	require.Equal(t, []Action{Withdraw{ID: "i1"}}, b.apply(Leave{}))
-	require.Empty(t, b.wait(2*time.Second), "an instance that leaves writes its entry")
+	require.Empty(t, only[Announce](b.wait(2*announceInterval)), "an instance that leaves writes its entry")
 }
--- a/goldcreststand/internal/hub/loop.go
+++ b/goldcreststand/internal/hub/loop.go
@@ -57,10 +57,17 @@
 	dropped  atomic.Int64
 	done     chan struct{}
 	view     atomic.Pointer[spread.View]
+	standing atomic.Pointer[standingAt]
 	state    *state
 	ticked   time.Duration
 }
 
+// standingAt is the standing of the instance at a time.
+type standingAt struct {
+	Standing
+	at time.Time
+}
+
 // New returns a loop that has not started. The executor gets all actions.
 func New(self Self, clock clockwork.Clock, elapsed ElapsedClock, exec Executor, log Log) *Loop {
 	l := &Loop{
@@ -69,6 +76,7 @@
 		done: make(chan struct{}), state: newState(self, clock.Now(), log),
 	}
 	l.view.Store(l.state.view())
+	l.standing.Store(&standingAt{l.state.standing(), l.state.now})
 	return l
 }
 
@@ -78,6 +86,13 @@
 // Load returns the newest view; it is never nil.
 func (l *Loop) Load() *spread.View { return l.view.Load() }
 
+// Standing returns how new the store's word is at this instance now.
+func (l *Loop) Standing() Standing {
+	s := l.standing.Load()
+	since := l.clock.Since(s.at)
+	return Standing{Age: s.Age + since, Grace: max(0, s.Grace-since)}
+}
+
 // Dropped returns the number of outcomes that control had no room for.
 func (l *Loop) Dropped() int64 { return l.dropped.Load() }
 
@@ -143,6 +158,7 @@
 		l.state.changed = false
 		l.view.Store(l.state.view())
 	}
+	l.standing.Store(&standingAt{l.state.standing(), l.state.now})
 	for _, a := range actions {
 		l.exec.Do(a)
 	}
--- a/goldcreststand/internal/hub/oracle_test.go
+++ b/goldcreststand/internal/hub/oracle_test.go
@@ -24,7 +24,8 @@
 	gone  map[ident.ServerID]time.Time
 	out   map[ident.DomainName]bool
 	phase canary.Phase
-	asOf  ident.Revision
+	// past holds news of the servers that came before.
+	past []Servers
 }
 
 // Guards against calls to servers that left, drain, are in a domain that is out or run a version that was taken back,
@@ -46,6 +47,7 @@
 			"outage":     o.outage,
 			"evacuation": o.evacuate,
 			"phase":      o.advance,
+			"late":       o.late,
 		})
 	})
 }
@@ -65,17 +67,35 @@
 	e := entry(id, rapid.SampledFrom([]ident.VersionName{"v1", "v2"}).Draw(t, "version"))
 	e.Server.Domain = rapid.SampledFrom([]ident.DomainName{"d1", "d2"}).Draw(t, "domain")
 	e.Server.Leaving = rapid.Bool().Draw(t, "leaving")
-	o.list(false, e)
+	o.rev++
+	o.tell(store.Batch[roster.Entry]{
+		Objects: []store.Object[roster.Entry]{{Name: string(id), Revision: o.rev, Value: e}}, AsOf: o.rev,
+	})
 	o.listed[id] = e
 	delete(o.gone, id)
 }
 
 func (o *oracle) remove(t *rapid.T) {
 	id := o.drawID(t)
-	o.apply(Servers{store.Batch[roster.Entry]{Removed: []string{string(id)}, AsOf: o.asOf}})
+	o.rev++
+	o.tell(store.Batch[roster.Entry]{Removed: []string{string(id)}, AsOf: o.rev})
 	o.vanish(id)
 }
 
+// tell posts news of the servers and keeps it.
+func (o *oracle) tell(b store.Batch[roster.Entry]) {
+	o.past = append(o.past, Servers{b})
+	o.apply(Servers{b})
+}
+
+// late posts former news again, as another instance may that tells it later than the store.
+func (o *oracle) late(t *rapid.T) {
+	if len(o.past) == 0 {
+		t.Skip("no news yet")
+	}
+	o.apply(rapid.SampledFrom(o.past).Draw(t, "past"))
+}
+
 func (o *oracle) vanish(id ident.ServerID) {
 	if _, ok := o.listed[id]; ok {
 		delete(o.listed, id)
@@ -85,18 +105,18 @@
 
 // relist posts a list of the servers, without those that have lapsed.
 func (o *oracle) relist(t *rapid.T) {
-	o.asOf++
-	batch := store.Batch[roster.Entry]{Whole: true, AsOf: o.asOf}
+	o.rev++
+	batch := store.Batch[roster.Entry]{Whole: true, AsOf: o.rev}
 	for i := range 8 {
 		id := ident.ServerID("s" + strconv.Itoa(i))
 		e, ok := o.listed[id]
 		if ok && rapid.Bool().Draw(t, "lapsed") {
 			o.vanish(id)
 		} else if ok {
-			batch.Objects = append(batch.Objects, store.Object[roster.Entry]{Name: string(id), Value: e})
+			batch.Objects = append(batch.Objects, store.Object[roster.Entry]{Name: string(id), Revision: o.rev, Value: e})
 		}
 	}
-	o.apply(Servers{batch})
+	o.tell(batch)
 }
 
 func (o *oracle) outage(t *rapid.T) {
@@ -109,11 +129,14 @@
 func (o *oracle) evacuate(t *rapid.T) {
 	d := rapid.SampledFrom([]ident.DomainName{"d1", "d2"}).Draw(t, "domain")
 	o.out[d] = !o.out[d]
+	o.rev++
+	b := store.Batch[ident.DomainName]{AsOf: o.rev}
 	if o.out[d] {
-		o.apply(Evacuations{store.Batch[ident.DomainName]{Objects: []store.Object[ident.DomainName]{{Name: string(d)}}}})
+		b.Objects = []store.Object[ident.DomainName]{{Name: string(d), Revision: o.rev}}
 	} else {
-		o.apply(Evacuations{store.Batch[ident.DomainName]{Removed: []string{string(d)}}})
+		b.Removed = []string{string(d)}
 	}
+	o.apply(Evacuations{b})
 }
 
 func (o *oracle) advance(t *rapid.T) {
--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -11,6 +11,7 @@
 	"goldcreststand.example/core/canary"
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/place"
+	"goldcreststand.example/core/relay"
 	"goldcreststand.example/core/retry"
 	"goldcreststand.example/core/ring"
 	"goldcreststand.example/core/roster"
@@ -96,7 +97,9 @@
 	services map[ident.ServiceName]*service
 	out      map[ident.DomainName]bool
 	members  []ring.Member
-	watch    *ring.Watch
+	// owner says whether this instance is one of those that send to a server while it is cold.
+	owner map[ident.ServerID]bool
+	watch *ring.Watch
 	// loaded says which kinds have been read, and lost since when the store has not replied about a kind.
 	loaded map[Kind]bool
 	lost   map[Kind]time.Time
@@ -104,12 +107,22 @@
 	known map[Kind]ident.Revision
 	// grace is the time until which a missing server may still come back.
 	grace time.Time
-	// announced, pinged, reported and copied are the times of the last such actions.
-	announced, pinged, reported, copied time.Time
+	// listed is the revision of the last list of each kind, and told that of the newest word on each object.
+	listed map[Kind]ident.Revision
+	told   map[Kind]map[string]ident.Revision
+	// announced, pinged, reported and contacted are the times of the last such actions.
+	announced, pinged, reported, contacted time.Time
 	// met is the address of an instance that pinged this one.
 	met netip.AddrPort
-	// turn counts the copies asked for, so that each goes to another member.
+	// turn counts the contacts asked, so that each question goes to another one.
 	turn int
+	// course says whether this instance watches the store, and which others it asks.
+	course *relay.Course
+	// watched are the kinds that are followed in the store.
+	watched map[Kind]bool
+	// asking says that a question to another instance is under way, unreached which did not reply to the last one.
+	asking    bool
+	unreached netip.AddrPort
 }
 
 // server is what the instance knows of one backend server.
@@ -135,8 +148,10 @@
 	return &state{
 		self: self, now: now, started: now, log: log,
 		servers: make(map[ident.ServerID]*server), services: make(map[ident.ServiceName]*service),
-		out: make(map[ident.DomainName]bool), watch: ring.New(self.ID),
+		out: make(map[ident.DomainName]bool), owner: make(map[ident.ServerID]bool), watch: ring.New(self.ID),
 		loaded: make(map[Kind]bool), lost: make(map[Kind]time.Time), known: make(map[Kind]ident.Revision),
+		listed: make(map[Kind]ident.Revision), told: make(map[Kind]map[string]ident.Revision),
+		course: relay.NewCourse(self.Member, now),
 	}
 }
 
--- a/goldcreststand/internal/hub/storeevents.go
+++ b/goldcreststand/internal/hub/storeevents.go
@@ -55,11 +55,12 @@
 )
 
 func (e Configs) apply(st *state) []Action {
-	if st.load(KindConfig, e.Whole, e.AsOf) {
+	b := sift(st, KindConfig, e.Batch)
+	if st.load(KindConfig, b.Whole, b.AsOf) {
 		return nil
 	}
-	st.invalid(KindConfig, e.Invalid)
-	for _, o := range e.Objects {
+	st.invalid(KindConfig, b.Invalid)
+	for _, o := range b.Objects {
 		if !o.Value.Newer(st.config) {
 			continue
 		}
@@ -72,33 +73,34 @@
 }
 
 func (e Servers) apply(st *state) []Action {
-	if st.load(KindServers, e.Whole, e.AsOf) {
+	b := sift(st, KindServers, e.Batch)
+	if st.load(KindServers, b.Whole, b.AsOf) {
 		return nil
 	}
-	st.invalid(KindServers, e.Invalid)
-	listed := make(map[ident.ServerID]bool, len(e.Objects))
-	for _, o := range e.Objects {
+	st.invalid(KindServers, b.Invalid)
+	listed := make(map[ident.ServerID]bool, len(b.Objects))
+	for _, o := range b.Objects {
 		listed[o.Value.Server.ID] = true
 		st.list(o.Value, o.Revision)
 	}
-	for _, f := range e.Invalid {
+	for _, f := range b.Invalid {
 		st.unlist(ident.ServerID(f.Name), f.Revision)
 	}
-	gone := e.gone(st, listed)
+	gone := goneServers(st, b, listed)
 	st.suspectLapse(len(gone))
 	for _, id := range gone {
-		st.unlist(id, e.AsOf)
+		st.unlist(id, b.AsOf)
 	}
 	return nil
 }
 
-// gone returns the servers that the news says are no longer listed.
-func (e Servers) gone(st *state, listed map[ident.ServerID]bool) []ident.ServerID {
+// goneServers returns the servers that the news says are no longer listed.
+func goneServers(st *state, b store.Batch[roster.Entry], listed map[ident.ServerID]bool) []ident.ServerID {
 	var out []ident.ServerID
-	for _, n := range e.Removed {
+	for _, n := range b.Removed {
 		out = append(out, ident.ServerID(n))
 	}
-	if !e.Whole {
+	if !b.Whole {
 		return out
 	}
 	for id, s := range st.servers {
@@ -159,25 +161,27 @@
 	for id, s := range st.servers {
 		if !s.missing.IsZero() && !st.now.Before(s.missing) {
 			delete(st.servers, id)
+			delete(st.owner, id)
 			st.changed = true
 		}
 	}
 }
 
 func (e Orders) apply(st *state) []Action {
-	if st.load(KindOrders, e.Whole, e.AsOf) {
+	b := sift(st, KindOrders, e.Batch)
+	if st.load(KindOrders, b.Whole, b.AsOf) {
 		return nil
 	}
-	st.invalid(KindOrders, e.Invalid)
-	ordered := make(map[ident.ServiceName]bool, len(e.Objects))
-	for _, o := range e.Objects {
+	st.invalid(KindOrders, b.Invalid)
+	ordered := make(map[ident.ServiceName]bool, len(b.Objects))
+	for _, o := range b.Objects {
 		ordered[ident.ServiceName(o.Name)] = true
 		st.order(o.Value, o.Revision)
 	}
-	for _, n := range e.Removed {
+	for _, n := range b.Removed {
 		st.cancel(ident.ServiceName(n))
 	}
-	if e.Whole {
+	if b.Whole {
 		for n := range st.services {
 			if !ordered[n] {
 				st.cancel(n)
@@ -227,29 +231,30 @@
 }
 
 func (e Evacuations) apply(st *state) []Action {
-	if st.load(KindEvacuations, e.Whole, e.AsOf) {
+	b := sift(st, KindEvacuations, e.Batch)
+	if st.load(KindEvacuations, b.Whole, b.AsOf) {
 		return nil
 	}
 	out := make(map[ident.DomainName]bool)
-	if !e.Whole {
+	if !b.Whole {
 		for d := range st.out {
 			out[d] = true
 		}
 	}
-	for _, o := range e.Objects {
+	for _, o := range b.Objects {
 		out[ident.DomainName(o.Name)] = true
 	}
-	for _, n := range e.Removed {
+	for _, n := range b.Removed {
 		delete(out, ident.DomainName(n))
 	}
 	for d := range out {
 		if !st.out[d] {
-			st.belief("failure domain out", logrus.Fields{"domain": d, "revision": e.AsOf})
+			st.belief("failure domain out", logrus.Fields{"domain": d, "revision": b.AsOf})
 		}
 	}
 	for d := range st.out {
 		if !out[d] {
-			st.belief("failure domain back", logrus.Fields{"domain": d, "revision": e.AsOf})
+			st.belief("failure domain back", logrus.Fields{"domain": d, "revision": b.AsOf})
 		}
 	}
 	st.out, st.changed = out, true
@@ -257,20 +262,21 @@
 }
 
 func (e Members) apply(st *state) []Action {
-	if st.load(KindMembers, e.Whole, e.AsOf) {
+	b := sift(st, KindMembers, e.Batch)
+	if st.load(KindMembers, b.Whole, b.AsOf) {
 		return nil
 	}
-	st.invalid(KindMembers, e.Invalid)
+	st.invalid(KindMembers, b.Invalid)
 	var members []ring.Member
 	replaced := make(map[ident.InstanceID]bool)
-	for _, o := range e.Objects {
+	for _, o := range b.Objects {
 		replaced[o.Value.ID] = true
 		members = append(members, o.Value)
 	}
-	for _, n := range e.Removed {
+	for _, n := range b.Removed {
 		replaced[ident.InstanceID(n)] = true
 	}
-	if !e.Whole {
+	if !b.Whole {
 		for _, m := range st.members {
 			if !replaced[m.ID] {
 				members = append(members, m)
@@ -279,10 +285,12 @@
 	}
 	slices.SortFunc(members, func(a, b ring.Member) int { return cmp.Compare(a.ID, b.ID) })
 	if !slices.Equal(members, st.members) {
-		st.belief("members changed", logrus.Fields{"members": len(members), "before": len(st.members), "revision": e.AsOf})
+		st.belief("members changed", logrus.Fields{"members": len(members), "before": len(st.members), "revision": b.AsOf})
 	}
 	st.members, st.changed = members, true
-	return st.announce()
+	clear(st.owner)
+	st.course.SetMembers(members, st.now)
+	return append(st.announce(), st.follow()...)
 }
 
 func (e Lost) apply(st *state) []Action {
@@ -314,12 +322,52 @@
 		return true
 	}
 	st.known[k] = max(st.known[k], asOf)
+	if whole {
+		st.listed[k] = asOf
+	}
 	if !st.loaded[k] {
 		st.loaded[k], st.changed = true, true
 	}
 	return false
 }
 
+// sift drops what a batch says of objects of which something newer is known: the store and other instances tell of the
+// same changes.
+func sift[T any](st *state, k Kind, b store.Batch[T]) store.Batch[T] {
+	if b.Whole && b.AsOf < st.known[k] {
+		return b
+	}
+	told := st.told[k]
+	if told == nil || b.Whole {
+		told = make(map[string]ident.Revision)
+		st.told[k] = told
+	}
+	newer := func(name string, rev ident.Revision) bool {
+		if !b.Whole && (rev < st.listed[k] || rev < told[name]) {
+			return false
+		}
+		told[name] = rev
+		return true
+	}
+	out := store.Batch[T]{Whole: b.Whole, AsOf: b.AsOf}
+	for _, o := range b.Objects {
+		if newer(o.Name, o.Revision) {
+			out.Objects = append(out.Objects, o)
+		}
+	}
+	for _, n := range b.Removed {
+		if newer(n, b.AsOf) {
+			out.Removed = append(out.Removed, n)
+		}
+	}
+	for _, f := range b.Invalid {
+		if newer(f.Name, f.Revision) {
+			out.Invalid = append(out.Invalid, f)
+		}
+	}
+	return out
+}
+
 // invalid logs the objects that could not be read; the others hold.
 func (st *state) invalid(k Kind, fs []store.Finding) {
 	for _, f := range fs {
--- a/goldcreststand/internal/hub/tick.go
+++ b/goldcreststand/internal/hub/tick.go
@@ -18,12 +18,9 @@
 	// reportInterval is the time between two reports about a rollout that runs.
 	reportInterval     = 400 * time.Millisecond
 	stepReportInterval = 200 * time.Millisecond
-	// copyDelay is the time without a reply of the store after which others are asked, and copyInterval the
-	// time between two such questions.
-	copyDelay    = 200 * time.Millisecond
-	copyInterval = 500 * time.Millisecond
-	// announceInterval is the least time between two writes of this instance's own entry.
-	announceInterval = time.Second
+	// announceInterval is the least time between two writes of this instance's own entry. Its list comes back
+	// through another instance within about a second.
+	announceInterval = 2 * time.Second
 )
 
 // Action is something that an adapter does for control.
@@ -48,13 +45,6 @@
 		Report  canary.Report
 	}
 
-	// Copy asks an instance for the kinds that this one cannot read from the store, where it knows them at a
-	// newer revision.
-	Copy struct {
-		To    netip.AddrPort
-		Known map[Kind]ident.Revision
-	}
-
 	// Progress asks to write the phase of a rollout and to post Written.
 	Progress struct {
 		Order canary.Order
@@ -67,7 +57,6 @@
 func (Withdraw) action() {}
 func (Ping) action()     {}
 func (Report) action()   {}
-func (Copy) action()     {}
 func (Progress) action() {}
 
 type (
@@ -123,53 +112,10 @@
 	st.admitKnown()
 	out := st.announce()
 	out = append(out, st.pings()...)
-	out = append(out, st.copies()...)
+	out = append(out, st.follow()...)
 	return append(out, st.rollouts()...)
 }
 
-// copies asks another instance for what the store does not tell: it may serve others, or have told them before
-// this instance started.
-func (st *state) copies() []Action {
-	if st.leaving || st.now.Sub(st.copied) < copyInterval {
-		return nil
-	}
-	known := make(map[Kind]ident.Revision)
-	for _, k := range KindValues() {
-		since, lost := st.lost[k]
-		if !lost && !st.loaded[k] {
-			since, lost = st.started, true
-		}
-		if lost && st.now.Sub(since) >= copyDelay {
-			known[k] = st.known[k]
-		}
-	}
-	to := st.contacts()
-	if len(known) == 0 || len(to) == 0 {
-		return nil
-	}
-	st.copied = st.now
-	st.turn++
-	return []Action{Copy{To: to[st.turn%len(to)], Known: known}}
-}
-
-// contacts returns the addresses of the other instances. While no member is known these are the one that pinged
-// this instance last, and those of the settings.
-func (st *state) contacts() []netip.AddrPort {
-	var out []netip.AddrPort
-	for _, m := range st.members {
-		if m.ID != st.self.ID {
-			out = append(out, m.Peer)
-		}
-	}
-	if len(out) > 0 {
-		return out
-	}
-	if st.met.IsValid() {
-		out = append(out, st.met)
-	}
-	return append(out, st.self.Contacts...)
-}
-
 // admitKnown asks for a new view when a version's time without an order is over.
 func (st *state) admitKnown() {
 	for _, s := range st.services {
--- a/goldcreststand/internal/hub/view.go
+++ b/goldcreststand/internal/hub/view.go
@@ -126,9 +126,12 @@
 	if r.WarmRate <= 0 {
 		return 0
 	}
-	owners := place.Order(string(id), nodes)
-	owners = owners[:min(coldOwners, len(owners))]
-	if !slices.ContainsFunc(owners, func(n place.Node) bool { return n.ID == st.self.ID }) {
+	owner, ok := st.owner[id]
+	if !ok {
+		owner = slices.ContainsFunc(place.First(string(id), nodes, coldOwners), func(n place.Node) bool { return n.ID == st.self.ID })
+		st.owner[id] = owner
+	}
+	if !owner {
 		return 0
 	}
 	return time.Duration(coldOwners / (r.WarmRate * coldUse) * float64(time.Second))
--- a/goldcreststand/internal/mesh/mesh.go
+++ b/goldcreststand/internal/mesh/mesh.go
@@ -1,16 +1,15 @@
-// Package mesh carries what the instances tell each other directly: that they live, and the counts of the
-// rollouts that run.
+// Package mesh carries what the instances tell each other directly: that they live, the counts of the rollouts that
+// run, and the news of the store.
 package mesh
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
-	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/ring"
 	"goldcreststand.example/goldcreststand/internal/hub"
 	"goldcreststand.example/goldcreststand/internal/peer"
@@ -20,9 +19,9 @@
 
 // Names of the methods.
 const (
-	methodAlive = "alive"
-	methodCount = "count"
-	methodCopy  = "copy"
+	methodAlive  = "alive"
+	methodCount  = "count"
+	methodFollow = "follow"
 )
 
 // callers bounds the calls of other instances at a time, and those that wait.
@@ -46,34 +45,28 @@
 	Belief(msg string, fields logrus.Fields)
 }
 
-// Copies gives and takes the objects of a kind in the store's form.
-type Copies interface {
-	// Export returns the objects and the revision that they show; 0 when none were read.
-	Export(k hub.Kind) (json.RawMessage, ident.Revision, error)
-	// Import returns the event for what another instance exported.
-	Import(k hub.Kind, raw json.RawMessage) (hub.Event, error)
-}
-
 // Mesh is both ends of the methods between instances.
 type Mesh struct {
 	self   ring.Member
 	link   Link
 	poster Poster
-	copies Copies
+	shelf  *shelf
+	state  Standings
+	clock  clockwork.Clock
 	log    Log
 	pool   *worker.Pool
 }
 
 // New returns a mesh that has not started.
-func New(self ring.Member, l Link, p Poster, c Copies, log Log) *Mesh {
-	return &Mesh{self: self, link: l, poster: p, copies: c, log: log, pool: worker.New(callers)}
+func New(self ring.Member, l Link, p Poster, st Standings, c Copies, clock clockwork.Clock, log Log) *Mesh {
+	return &Mesh{self: self, link: l, poster: p, shelf: newShelf(c), state: st, clock: clock, log: log, pool: worker.New(callers)}
 }
 
 // Register adds the methods to the peer.
 func (m *Mesh) Register(p *peer.Peer) {
 	p.Register(methodAlive, peer.Method(m.alive))
 	p.Register(methodCount, peer.Method(m.count))
-	p.Register(methodCopy, peer.Method(m.copy))
+	p.Register(methodFollow, peer.Method(m.follow))
 }
 
 // Run makes calls until the context ends.
@@ -110,57 +103,6 @@
 	})
 }
 
-// Copy asks an instance for what it knows at a newer revision, and posts it.
-func (m *Mesh) Copy(a hub.Copy) {
-	m.pool.Do(func(ctx context.Context) {
-		req := &wire.CopyRequest{Sender: m.self.ID}
-		for k, known := range a.Known {
-			req.Wants = append(req.Wants, wire.Want{Kind: k.String(), Known: known})
-		}
-		var out wire.CopyReply
-		if err := m.link.Call(ctx, a.To, methodCopy, req, &out); err != nil {
-			m.log.Belief("mesh: copy failed", logrus.Fields{"peer": a.To.String(), "error": err.Error()})
-			return
-		}
-		for _, c := range out.Copies {
-			m.take(ctx, a.To, c)
-		}
-	})
-}
-
-// take posts one kind that another instance told.
-func (m *Mesh) take(ctx context.Context, from netip.AddrPort, c wire.Copy) {
-	k, err := hub.KindString(c.Kind)
-	var ev hub.Event
-	if err == nil {
-		ev, err = m.copies.Import(k, c.Content)
-	}
-	if err != nil {
-		m.log.Belief("mesh: copy is invalid", logrus.Fields{"peer": from.String(), "kind": c.Kind, "error": err.Error()})
-		return
-	}
-	m.log.Belief("mesh: copied", logrus.Fields{"peer": from.String(), "kind": c.Kind})
-	_ = m.poster.Post(ctx, ev)
-}
-
-func (m *Mesh) copy(_ context.Context, r *wire.CopyRequest) (*wire.CopyReply, error) {
-	out := &wire.CopyReply{Copies: []wire.Copy{}}
-	for _, w := range r.Wants {
-		k, err := hub.KindString(w.Kind)
-		if err != nil {
-			return nil, Error.Wrap(err)
-		}
-		raw, known, err := m.copies.Export(k)
-		if err != nil {
-			return nil, Error.Wrap(err)
-		}
-		if known > w.Known {
-			out.Copies = append(out.Copies, wire.Copy{Kind: w.Kind, Content: raw})
-		}
-	}
-	return out, nil
-}
-
 // alive answers a ping. An instance that does not know the members yet learns here of one that does.
 func (m *Mesh) alive(ctx context.Context, r *wire.Alive) (*wire.Alive, error) {
 	if err := m.poster.Post(ctx, hub.Met{Peer: r.Peer}); err != nil {
--- a/goldcreststand/internal/mesh/mesh_test.go
+++ b/goldcreststand/internal/mesh/mesh_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"net"
 	"net/netip"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,26 +32,58 @@
 func (noLog) Warnf(string, ...any)         {}
 
 // copies holds one kind at a revision; what it imports becomes a list of members.
-type copies struct{ known ident.Revision }
+type copies struct {
+	mu    sync.Mutex
+	known ident.Revision
+	next  chan struct{}
+}
+
+func (c *copies) Known(hub.Kind) ident.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known
+}
+
+func (c *copies) Next() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next
+}
+
+// advance makes the objects newer.
+func (c *copies) advance(to ident.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.known = to
+	close(c.next)
+	c.next = make(chan struct{})
+}
 
-func (c copies) Export(hub.Kind) (json.RawMessage, ident.Revision, error) {
-	return json.RawMessage(`"content"`), c.known, nil
+func (c *copies) Export(_ hub.Kind, from ident.Revision) (json.RawMessage, ident.Revision, error) {
+	return json.RawMessage(strconv.FormatUint(uint64(from), 10)), c.Known(hub.KindMembers), nil
 }
 
-func (c copies) Import(k hub.Kind, raw json.RawMessage) (hub.Event, error) {
-	if k != hub.KindMembers || string(raw) != `"content"` {
-		return nil, errors.New("other content")
+func (c *copies) Import(k hub.Kind, raw json.RawMessage) (hub.Event, error) {
+	if k != hub.KindMembers {
+		return nil, errors.New("other kind")
 	}
-	return hub.Members{Batch: store.Batch[ring.Member]{AsOf: 9}}, nil
+	from, err := strconv.ParseUint(string(raw), 10, 64)
+	return hub.Members{Batch: store.Batch[ring.Member]{AsOf: ident.Revision(from)}}, err
 }
 
 // instance is one end of the link.
 type instance struct {
 	member ring.Member
 	mesh   *mesh.Mesh
+	copies *copies
 	events chan hub.Event
 }
 
+// Standing returns what the instance tells of itself.
+func (i *instance) Standing() hub.Standing {
+	return hub.Standing{Age: 70 * time.Millisecond, Grace: 900 * time.Millisecond}
+}
+
 // Post keeps the event, and answers a report as the instance that decides would.
 func (i *instance) Post(_ context.Context, ev hub.Event) error {
 	if r, ok := ev.(hub.Reported); ok {
@@ -76,9 +110,10 @@
 func newInstance(t *testing.T, id ident.InstanceID, known ident.Revision) *instance {
 	sock, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	i := &instance{member: ring.Member{ID: id, Peer: netip.MustParseAddrPort(sock.Addr().String())}, events: make(chan hub.Event, 16)}
+	i := &instance{member: ring.Member{ID: id, Peer: netip.MustParseAddrPort(sock.Addr().String())}, events: make(chan hub.Event, 128)}
 	p := peer.New(clockwork.NewRealClock(), noLog{})
-	i.mesh = mesh.New(i.member, p, i, copies{known}, noLog{})
+	i.copies = &copies{known: known, next: make(chan struct{})}
+	i.mesh = mesh.New(i.member, p, i, i, i.copies, clockwork.NewRealClock(), noLog{})
 	i.mesh.Register(p)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = p.Run(ctx, sock) }()
@@ -125,10 +160,37 @@
 	require.Equal(t, hub.Advised{Service: "one", Attempt: 4}, next[hub.Advised](t, a))
 }
 
-// Guards against copies of what the asking instance knows already, and against content that it cannot read.
-func TestCopy(t *testing.T) {
+// Guards against news of what the asking instance knows already, and against news without its source's standing.
+func TestFollow(t *testing.T) {
+	a, b := newInstance(t, "a", 0), newInstance(t, "b", 9)
+	a.mesh.Follow(hub.Follow{To: b.member.Peer, Known: map[hub.Kind]ident.Revision{hub.KindConfig: 9, hub.KindServers: 10, hub.KindMembers: 8}})
+	require.Equal(t, hub.Followed{
+		From: b.member.Peer, Standing: b.Standing(), News: []hub.Event{hub.Members{Batch: store.Batch[ring.Member]{AsOf: 8}}},
+	}, next[hub.Followed](t, a))
+}
+
+// Guards against news that waits until the next question, and against questions without an end when there is none.
+func TestFollowWaitsForNews(t *testing.T) {
+	a, b := newInstance(t, "a", 0), newInstance(t, "b", 3)
+	ask := hub.Follow{To: b.member.Peer, Known: map[hub.Kind]ident.Revision{hub.KindMembers: 3}, Wait: 50 * time.Millisecond}
+	a.mesh.Follow(ask)
+	require.Empty(t, next[hub.Followed](t, a).News)
+	ask.Wait = 500 * time.Millisecond
+	a.mesh.Follow(ask)
+	b.copies.advance(4)
+	require.Len(t, next[hub.Followed](t, a).News, 1)
+}
+
+// Guards against a question whose end control never hears of, after which it would ask nobody.
+func TestFollowTellsOfFailures(t *testing.T) {
 	a, b := newInstance(t, "a", 0), newInstance(t, "b", 9)
-	a.mesh.Copy(hub.Copy{To: b.member.Peer, Known: map[hub.Kind]ident.Revision{hub.KindConfig: 3, hub.KindServers: 9, hub.KindMembers: 8}})
-	require.Equal(t, hub.Members{Batch: store.Batch[ring.Member]{AsOf: 9}}, next[hub.Members](t, a))
-	require.Empty(t, a.events)
+	a.mesh.Follow(hub.Follow{To: b.member.Peer, Known: map[hub.Kind]ident.Revision{hub.KindConfig: 8}})
+	require.ErrorContains(t, next[hub.Followed](t, a).Err, "other kind")
+	nobody := netip.MustParseAddrPort("127.0.0.1:1")
+	for range 100 {
+		a.mesh.Follow(hub.Follow{To: nobody})
+	}
+	for range 100 {
+		require.Error(t, next[hub.Followed](t, a).Err)
+	}
 }
--- /dev/null
+++ b/goldcreststand/internal/mesh/shelf.go
@@ -0,0 +1,63 @@
+package mesh
+
+import (
+	"encoding/json"
+	"sync"
+
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/goldcreststand/internal/hub"
+	"goldcreststand.example/schema/wire"
+)
+
+// Copies gives and takes the objects of a kind in the store's form. It is safe for concurrent use.
+type Copies interface {
+	// Known returns the revision that the objects of a kind show; 0 when none were read.
+	Known(k hub.Kind) ident.Revision
+	// Next returns a channel that is closed when a kind changes.
+	Next() <-chan struct{}
+	// Export returns what changed after the revision, or everything, and the revision to which that leads.
+	Export(k hub.Kind, from ident.Revision) (json.RawMessage, ident.Revision, error)
+	// Import returns the event for what another instance exported, or nil when it is not newer.
+	Import(k hub.Kind, raw json.RawMessage) (hub.Event, error)
+}
+
+// shelf keeps the last excerpt of each kind, because all that follow this instance ask for the same one. It is safe
+// for concurrent use.
+type shelf struct {
+	copies Copies
+	packer wire.Packer
+
+	mu    sync.Mutex
+	packs map[hub.Kind]pack
+}
+
+// pack is what changed between two revisions.
+type pack struct {
+	from, to ident.Revision
+	content  wire.Packed
+}
+
+func newShelf(c Copies) *shelf { return &shelf{copies: c, packs: make(map[hub.Kind]pack)} }
+
+// take returns the excerpt after the revision, and whether there is anything newer.
+func (s *shelf) take(k hub.Kind, from ident.Revision) (wire.Packed, bool, error) {
+	known := s.copies.Known(k)
+	if known <= from {
+		return nil, false, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.packs[k]; p.from == from && p.to >= known {
+		return p.content, true, nil
+	}
+	raw, to, err := s.copies.Export(k, from)
+	if err != nil {
+		return nil, false, err
+	}
+	content, err := s.packer.Pack(raw)
+	if err != nil {
+		return nil, false, err
+	}
+	s.packs[k] = pack{from: from, to: to, content: content}
+	return content, true, nil
+}
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -67,101 +67,6 @@
 	return nil
 }
 
-// Copy holds all objects of a kind as the store listed them.
-type Copy struct {
-	// List in the store's own form.
-	Content json.RawMessage `json:"content"`
-
-	// Kind of objects.
-	Kind string `json:"kind"`
-}
-
-// CopyReply is the result of the method copy: the kinds that the sender knows at a
-// newer revision.
-type CopyReply struct {
-	// Newer kinds.
-	Copies []Copy `json:"copies"`
-}
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (j *CopyReply) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["copies"]; raw != nil && !ok {
-		return fmt.Errorf("field copies in CopyReply: required")
-	}
-	type Plain CopyReply
-	var plain Plain
-	if err := json.Unmarshal(value, &plain); err != nil {
-		return err
-	}
-	if len(plain.Copies) > 16 {
-		return fmt.Errorf("field %s length: must be <= %d", "copies", 16)
-	}
-	*j = CopyReply(plain)
-	return nil
-}
-
-// CopyRequest is the parameter of the method copy: the sender does not reach the
-// store.
-type CopyRequest struct {
-	// Instance that asks.
-	Sender ident.InstanceID `json:"sender"`
-
-	// Kinds that the sender asks for.
-	Wants []Want `json:"wants"`
-}
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (j *CopyRequest) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["sender"]; raw != nil && !ok {
-		return fmt.Errorf("field sender in CopyRequest: required")
-	}
-	if _, ok := raw["wants"]; raw != nil && !ok {
-		return fmt.Errorf("field wants in CopyRequest: required")
-	}
-	type Plain CopyRequest
-	var plain Plain
-	if err := json.Unmarshal(value, &plain); err != nil {
-		return err
-	}
-	if len(plain.Wants) > 16 {
-		return fmt.Errorf("field %s length: must be <= %d", "wants", 16)
-	}
-	*j = CopyRequest(plain)
-	return nil
-}
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (j *Copy) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
-	if err := json.Unmarshal(value, &raw); err != nil {
-		return err
-	}
-	if _, ok := raw["content"]; raw != nil && !ok {
-		return fmt.Errorf("field content in Copy: required")
-	}
-	if _, ok := raw["kind"]; raw != nil && !ok {
-		return fmt.Errorf("field kind in Copy: required")
-	}
-	type Plain Copy
-	var plain Plain
-	if err := json.Unmarshal(value, &plain); err != nil {
-		return err
-	}
-	if matched, _ := regexp.MatchString(`^[a-z]{1,32}$`, string(plain.Kind)); !matched {
-		return fmt.Errorf("field %s pattern match: must match %s", "Kind", `^[a-z]{1,32}$`)
-	}
-	*j = Copy(plain)
-	return nil
-}
-
 // Count sums the outcomes of calls of one version on one route.
 type Count struct {
 	// Calls that ended.
@@ -267,6 +172,40 @@
 	return nil
 }
 
+// Excerpt holds the objects of a kind that changed after the revision that the
+// sender knew.
+type Excerpt struct {
+	// Objects in the store's own form, compressed.
+	Content Packed `json:"content"`
+
+	// Kind of objects.
+	Kind string `json:"kind"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Excerpt) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["content"]; raw != nil && !ok {
+		return fmt.Errorf("field content in Excerpt: required")
+	}
+	if _, ok := raw["kind"]; raw != nil && !ok {
+		return fmt.Errorf("field kind in Excerpt: required")
+	}
+	type Plain Excerpt
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if matched, _ := regexp.MatchString(`^[a-z]{1,32}$`, string(plain.Kind)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "Kind", `^[a-z]{1,32}$`)
+	}
+	*j = Excerpt(plain)
+	return nil
+}
+
 // Faults sets how a fake backend server misbehaves; what is left out is off.
 type Faults struct {
 	// Calls in flight above which slow and fail apply.
@@ -420,6 +359,97 @@
 	return nil
 }
 
+// FollowReply is the result of the method follow.
+type FollowReply struct {
+	// Time in milliseconds since the store's word last reached the replying instance.
+	Age int `json:"age"`
+
+	// Time in milliseconds for which objects that are missing may still come back.
+	Grace int `json:"grace"`
+
+	// Kinds that changed.
+	News []Excerpt `json:"news"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *FollowReply) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["age"]; raw != nil && !ok {
+		return fmt.Errorf("field age in FollowReply: required")
+	}
+	if _, ok := raw["grace"]; raw != nil && !ok {
+		return fmt.Errorf("field grace in FollowReply: required")
+	}
+	if _, ok := raw["news"]; raw != nil && !ok {
+		return fmt.Errorf("field news in FollowReply: required")
+	}
+	type Plain FollowReply
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 0 > plain.Age {
+		return fmt.Errorf("field %s: must be >= %v", "age", 0)
+	}
+	if 0 > plain.Grace {
+		return fmt.Errorf("field %s: must be >= %v", "grace", 0)
+	}
+	if len(plain.News) > 16 {
+		return fmt.Errorf("field %s length: must be <= %d", "news", 16)
+	}
+	*j = FollowReply(plain)
+	return nil
+}
+
+// FollowRequest is the parameter of the method follow: the sender wants to hear of
+// newer objects.
+type FollowRequest struct {
+	// Instance that asks.
+	Sender ident.InstanceID `json:"sender"`
+
+	// Longest time in milliseconds to wait for news.
+	Wait int `json:"wait"`
+
+	// Kinds that the sender asks for.
+	Wants []Want `json:"wants"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *FollowRequest) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["sender"]; raw != nil && !ok {
+		return fmt.Errorf("field sender in FollowRequest: required")
+	}
+	if _, ok := raw["wait"]; raw != nil && !ok {
+		return fmt.Errorf("field wait in FollowRequest: required")
+	}
+	if _, ok := raw["wants"]; raw != nil && !ok {
+		return fmt.Errorf("field wants in FollowRequest: required")
+	}
+	type Plain FollowRequest
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if 10000 < plain.Wait {
+		return fmt.Errorf("field %s: must be <= %v", "wait", 10000)
+	}
+	if 0 > plain.Wait {
+		return fmt.Errorf("field %s: must be >= %v", "wait", 0)
+	}
+	if len(plain.Wants) > 16 {
+		return fmt.Errorf("field %s length: must be <= %d", "wants", 16)
+	}
+	*j = FollowRequest(plain)
+	return nil
+}
+
 // Held names the newest revision of an object that an instance holds.
 type Held struct {
 	// Key of the object, such as tables/inventory.
