hub: read the list of members at the start without waiting for a tick

Cause: since control decides which kinds are followed, the first decision came with the first tick, 100 ms after the start. After the final fault callers wait for just that. Change: the loop makes a tick before it waits. Lines tell what a source told, and when one replies again.

--- a/goldcreststand/internal/hub/follow.go
+++ b/goldcreststand/internal/hub/follow.go
@@ -76,6 +76,12 @@
 		st.course.Replied(e.From, e.Age, st.now)
 		if st.unreached == e.From {
 			st.unreached = netip.AddrPort{}
+			st.belief("source replies again", logrus.Fields{"source": e.From.String(), "age": e.Age.Milliseconds()})
+		}
+		if len(e.News) > 0 {
+			st.belief("heard from a source", logrus.Fields{
+				"source": e.From.String(), "kinds": len(e.News), "age": e.Age.Milliseconds(), "grace": e.Grace.Milliseconds(),
+			})
 		}
 		return
 	}
@@ -98,7 +104,9 @@
 		}
 	}
 	if !maps.Equal(kinds, st.watched) {
-		st.belief("following the store", logrus.Fields{"kinds": len(kinds), "of": len(KindValues()), "heard": st.age().Milliseconds()})
+		st.belief("following the store", logrus.Fields{
+			"kinds": len(kinds), "of": len(KindValues()), "age": st.standing().Age.Milliseconds(), "members": len(st.members),
+		})
 		st.watched = kinds
 		for k := range st.lost {
 			if !kinds[k] {
--- a/goldcreststand/internal/hub/loop.go
+++ b/goldcreststand/internal/hub/loop.go
@@ -124,6 +124,8 @@
 	ticker := l.clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	l.ticked = l.elapsed.Elapsed()
+	// Callers may wait for an instance that starts again.
+	l.handle(tick{})
 	for {
 		select {
 		case ev := <-l.events:
