edge: read what has arrived before idle connections are closed at the end

The store had just come back, so that the process, with 0.16 cores, was short of processor time; net/http counts a connection as idle until a request is read whole. Change: Shutdown waits until timers fire on time three times in a row, within the time that it has. The first list of servers gives one line, not one for each server: that delayed the first calls of an instance that starts.

--- a/goldcreststand/internal/edge/server.go
+++ b/goldcreststand/internal/edge/server.go
@@ -18,6 +18,11 @@
 	headerTime = 10 * time.Second
 	// idleCheck is the time between two searches for idle callers.
 	idleCheck = time.Second
+	// settleStep is the time between two looks at whether the process keeps up, settleLate the lateness of a timer up
+	// to which it does, and settleLooks the number of looks in a row that must say so.
+	settleStep  = 10 * time.Millisecond
+	settleLate  = 10 * time.Millisecond
+	settleLooks = 3
 	// defaultCallerIdle is the limit for idle callers until the configuration's limit is known.
 	defaultCallerIdle = time.Minute
 )
@@ -63,8 +68,28 @@
 	}
 }
 
-// Shutdown closes the listener and waits for calls in flight until the context ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.srv.Shutdown(ctx) }
+// Shutdown closes the listener and idle connections, and waits for calls in flight until the context ends. A process
+// that is short of processor time reads first what has arrived: a connection whose request waits to be read counts as
+// idle.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.settle(ctx)
+	return s.srv.Shutdown(ctx)
+}
+
+// settle waits until timers fire on time again.
+func (s *Server) settle(ctx context.Context) {
+	for n := 0; n < settleLooks; n++ {
+		at := s.clock.Now()
+		select {
+		case <-s.clock.After(settleStep):
+		case <-ctx.Done():
+			return
+		}
+		if s.clock.Since(at)-settleStep > settleLate {
+			n = -1
+		}
+	}
+}
 
 // track notes since when a connection has been idle.
 func (s *Server) track(c net.Conn, st http.ConnState) {
--- a/goldcreststand/internal/hub/storeevents.go
+++ b/goldcreststand/internal/hub/storeevents.go
@@ -74,6 +74,7 @@
 
 func (e Servers) apply(st *state) []Action {
 	b := sift(st, KindServers, e.Batch)
+	first := !st.loaded[KindServers]
 	if st.load(KindServers, b.Whole, b.AsOf) {
 		return nil
 	}
@@ -81,7 +82,13 @@
 	listed := make(map[ident.ServerID]bool, len(b.Objects))
 	for _, o := range b.Objects {
 		listed[o.Value.Server.ID] = true
-		st.list(o.Value, o.Revision)
+		if st.list(o.Value) && !first {
+			st.logListed(o.Value, o.Revision)
+		}
+	}
+	if first {
+		// A line for each would delay the first calls.
+		st.belief("servers listed", logrus.Fields{"servers": len(b.Objects), "revision": b.AsOf})
 	}
 	for _, f := range b.Invalid {
 		st.unlist(ident.ServerID(f.Name), f.Revision)
@@ -122,17 +129,22 @@
 	st.belief("most servers vanished at once", logrus.Fields{"gone": gone, "listed": len(st.servers), "kept": suspectTime.Milliseconds()})
 }
 
-// list notes a server's entry.
-func (st *state) list(e roster.Entry, rev ident.Revision) {
+// list notes a server's entry, and reports whether it is new.
+func (st *state) list(e roster.Entry) bool {
 	s, ok := st.servers[e.Server.ID]
 	if !ok || s.entry.Server.Incarnation != e.Server.Incarnation {
 		s = &server{memory: spread.NewMemory(st.now)}
 		st.servers[e.Server.ID] = s
 	}
 	if s.entry == e && s.missing.IsZero() {
-		return
+		return false
 	}
 	s.entry, s.missing, st.changed = e, time.Time{}, true
+	return true
+}
+
+// logListed logs a server's entry.
+func (st *state) logListed(e roster.Entry, rev ident.Revision) {
 	st.belief("server listed", logrus.Fields{
 		"server": e.Server.ID, "service": e.Service, "domain": e.Server.Domain, "version": e.Server.Version,
 		"address": e.Server.Address.String(), "leaving": e.Server.Leaving, "revision": rev,
