--- a/goldcreststand/internal/edge/server_test.go
+++ b/goldcreststand/internal/edge/server_test.go
@@ -41,5 +41,5 @@
 	go func() { done <- s.Shutdown(ctx) }()
 	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
 	cancel()
-	<-done
+	require.NoError(t, <-done)
 }
