relay: an instance that joins a small fleet watches the store

In a small fleet, where all watch the store, sources do not ask each other, and its own entry, which would have made it a watcher, was among the news. Change: in a small fleet an instance watches the store from 1 s after its start on, listed or not. Ruled out: watchers that ask each other in small fleets (bytes between domains).

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -35,7 +35,8 @@
 	// for most. One that serves some instances only has 5 s more for its news to be in force.
 	awayTime = 4 * time.Second
 	// startTime is the same for an instance that has heard nothing since its start, while callers wait for it, and
-	// joinTime for one that was not listed before, which no caller knows.
+	// joinTime for one that was not listed before, which no caller knows. The whole fleet may start, and its list
+	// grow, in that time.
 	startTime = 100 * time.Millisecond
 	joinTime  = time.Second
 	// soloTime is the least time for which an instance watches the store for want of sources. Reading everything
@@ -163,6 +164,9 @@
 		return true
 	}
 	switch {
+	case c.small && c.met && now.Sub(c.start) >= joinTime:
+		// The others do not ask each other, so that all sources may be without news.
+		return true
 	case c.lacks(now):
 		if c.solo.IsZero() {
 			c.solo = now
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -151,6 +151,11 @@
 	c.SetMembers(ms[:9], start)
 	require.False(t, c.Watches(start))
 	require.True(t, c.Asks())
+	// Those that it asks do not ask each other: they may all be without news.
+	s, _ := c.Source(start)
+	later := start.Add(time.Second)
+	c.Replied(s, 0, later)
+	require.True(t, c.Watches(later))
 	c.SetMembers(ms[:16], start)
 	require.True(t, c.Watches(start))
 	require.False(t, c.Asks())
