--- a/schema/generate.go
+++ b/schema/generate.go
@@ -5,6 +5,8 @@
 import _ "embed"
 
 //go:generate ../bin/go-jsonschema -p wire --tags json --capitalization ID,URL -o wire/wire_gen.go messages.json
+// Which fields a message has is checked without decoding their values a second time.
+//go:generate sed -i "s/var raw map.string.interface{}/var raw map[string]json.RawMessage/" wire/wire_gen.go
 //go:generate ../bin/go-jsonschema -p config --tags json --capitalization ID,URL -t -o config/config_gen.go settings.json
 
 // Settings is the JSON Schema of the settings of an instance.
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -21,7 +21,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Advice) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -48,7 +48,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Alive) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -90,7 +90,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Count) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -147,7 +147,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Entries) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -184,7 +184,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Excerpt) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -289,7 +289,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Fetch) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -334,7 +334,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Fetched) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -373,7 +373,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *FollowReply) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -419,7 +419,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *FollowRequest) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -461,7 +461,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Held) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -506,7 +506,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *InForce) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -548,7 +548,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Keys) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -575,7 +575,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Life) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -608,7 +608,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Listing) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -644,7 +644,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Load) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -689,7 +689,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Member) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -740,7 +740,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Move) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -804,7 +804,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Ping) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -876,7 +876,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *PlatformCalls) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1061,7 +1061,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Pong) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1115,7 +1115,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Progress) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1142,7 +1142,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Receipt) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1173,7 +1173,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Rejected) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1218,7 +1218,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Removal) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1276,7 +1276,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Report) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1342,7 +1342,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Row) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1411,7 +1411,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Server) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1501,7 +1501,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Status) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1549,7 +1549,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Suspect) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1607,7 +1607,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Table) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1680,7 +1680,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Tally) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1790,7 +1790,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *View) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1830,7 +1830,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Want) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
@@ -1864,7 +1864,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (j *Warmth) UnmarshalJSON(value []byte) error {
-	var raw map[string]interface{}
+	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
