hub: ignore an outage of a kind that is no longer followed

Cause: read of the code. A failed call that ends while the instance ceases to watch the store was noted as an outage that nothing ends; the instance would tell an ever growing age of the store's word. Change: such an event is ignored; names and a comment of core/relay say what holds. Test: hub.TestOutageOfUnwatchedKindIsIgnored, which fails without it.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -31,8 +31,8 @@
 	// silentTime is the time without the store's word after which an instance watches the store itself. News must
 	// be in force within 2 s, and reading the store may take several hundred milliseconds.
 	silentTime = 1200 * time.Millisecond
-	// awayTime is the same while sources reply, but are without the store's word themselves: the store is then away
-	// for most. One that serves some instances only has 5 s more for its news to be in force.
+	// awayTime is the same while sources reply, but are without the store's word themselves. Since watchers ask each
+	// other, the store is then away for all of them, and most likely for all instances.
 	awayTime = 4 * time.Second
 	// startTime is the same for an instance that has heard nothing since its start, while callers wait for it, and
 	// joinTime for one that was not listed before, which no caller knows. The whole fleet may start, and its list
@@ -72,8 +72,8 @@
 	// resting holds the time until which a source is left alone.
 	resting map[netip.AddrPort]time.Time
 	turn    int
-	// known says that this instance was listed before it started, and met that it has read a list.
-	known, met bool
+	// read says that this instance has read the list of instances, and listed that it was in it at first.
+	read, listed bool
 	// heard is the newest time at which the store's word was new at a source, and replied that of the last
 	// reply of any source.
 	heard, replied time.Time
@@ -105,9 +105,9 @@
 	for _, list := range [][]netip.AddrPort{near, far} {
 		slices.SortFunc(list, func(a, b netip.AddrPort) int { return cmp.Compare(c.distance(a), c.distance(b)) })
 	}
-	if !c.met {
-		c.met = true
-		c.known = slices.ContainsFunc(members, func(m ring.Member) bool { return m.ID == c.self.ID })
+	if !c.read {
+		c.read = true
+		c.listed = slices.ContainsFunc(members, func(m ring.Member) bool { return m.ID == c.self.ID })
 	}
 	if watched && !c.watcher {
 		c.heard, c.replied = now, now
@@ -164,7 +164,7 @@
 		return true
 	}
 	switch {
-	case c.small && c.met && now.Sub(c.start) >= joinTime:
+	case c.small && c.read && now.Sub(c.start) >= joinTime:
 		// The others do not ask each other, so that all sources may be without news.
 		return true
 	case c.lacks(now):
@@ -180,7 +180,7 @@
 // lacks reports whether the sources fail this instance.
 func (c *Course) lacks(now time.Time) bool {
 	switch {
-	case c.heard.IsZero() && c.known && len(c.sources) > 0:
+	case c.heard.IsZero() && c.listed && len(c.sources) > 0:
 		return now.Sub(c.start) >= startTime
 	case c.heard.IsZero():
 		return now.Sub(c.start) >= joinTime
--- a/goldcreststand/internal/hub/hub_test.go
+++ b/goldcreststand/internal/hub/hub_test.go
@@ -244,6 +244,16 @@
 	require.Empty(t, ask(), "asked though the store replies")
 }
 
+// Guards against an outage that never ends, because it was on its way when the instance ceased to watch the store.
+func TestOutageOfUnwatchedKindIsIgnored(t *testing.T) {
+	b := newBench()
+	b.watched = map[Kind]bool{}
+	b.apply(Lost{Kind: KindServers, Err: store.ErrUnavailable.New("down")})
+	b.list(true, entry("s1", "v1"))
+	b.wait(time.Second)
+	require.Zero(t, b.age())
+}
+
 // Guards against news on its way that takes back what another instance told since.
 func TestOlderListIsIgnored(t *testing.T) {
 	b := newBench()
--- a/goldcreststand/internal/hub/storeevents.go
+++ b/goldcreststand/internal/hub/storeevents.go
@@ -306,6 +306,10 @@
 }
 
 func (e Lost) apply(st *state) []Action {
+	if !st.watched[e.Kind] {
+		// It was under way when this instance ceased to follow the kind.
+		return nil
+	}
 	if _, ok := st.lost[e.Kind]; !ok {
 		st.lost[e.Kind] = st.now
 		st.belief("store lost", logrus.Fields{"kind": e.Kind.String(), "error": e.Err.Error()})
