relay: short first questions to sources at the start

Change: until an instance has heard the store's word its questions wait 40 ms for news and fail after 80 ms, so that it asks three sources before it turns to the store after 250 ms. Ruled out: only a longer time before the store (the first question still hangs).

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -24,8 +24,14 @@
 	// turnSources is the number of sources that an instance asks by turns: those of its failure domain and another
 	// one. A store that is silent towards some instances leaves their watches waiting, and they do not know it.
 	turnSources = watchersPerDomain + 1
-	// FollowWait is the time for which a source that has no news waits for some. Watchers ask all others by turns.
-	FollowWait = 500 * time.Millisecond
+	// newsWait is the time for which a source that has no news waits for some, and firstWait the same while an
+	// instance has heard nothing since its start: its first sources may be starting, too.
+	newsWait  = 500 * time.Millisecond
+	firstWait = 40 * time.Millisecond
+	// replySlack is the time beyond that in which the reply comes, and firstSlack the same at the start, when a source
+	// may still be without power.
+	replySlack = 300 * time.Millisecond
+	firstSlack = 40 * time.Millisecond
 	// restTime is the time for which a source that did not reply is left alone.
 	restTime = time.Second
 	// silentTime is the time without the store's word after which an instance watches the store itself. News must
@@ -37,7 +43,7 @@
 	// startTime is the same for an instance that has heard nothing since its start, while callers wait for it, and
 	// joinTime for one that was not listed before, which no caller knows. The whole fleet may start, and its list
 	// grow, in that time.
-	startTime = 100 * time.Millisecond
+	startTime = 250 * time.Millisecond
 	joinTime  = time.Second
 	// soloTime is the least time for which an instance watches the store for want of sources. Reading everything
 	// again costs as many calls as watching it for some ten seconds.
@@ -147,6 +153,14 @@
 	}
 }
 
+// Wait returns the time for which the next source may wait for news, and the time after which it has failed.
+func (c *Course) Wait() (wait, timeout time.Duration) {
+	if c.heard.IsZero() {
+		return firstWait, firstWait + firstSlack
+	}
+	return newsWait, newsWait + replySlack
+}
+
 // Failed notes a source that did not reply.
 func (c *Course) Failed(s netip.AddrPort, now time.Time) { c.resting[s] = now.Add(restTime) }
 
--- a/goldcreststand/internal/hub/follow.go
+++ b/goldcreststand/internal/hub/follow.go
@@ -8,12 +8,9 @@
 	"github.com/sirupsen/logrus"
 
 	"goldcreststand.example/core/ident"
-	"goldcreststand.example/core/relay"
 )
 
 const (
-	// FollowSlack is the time beyond that for which a source waits for news in which its reply comes.
-	FollowSlack = 300 * time.Millisecond
 	// awayDelay is the time without a reply of the store after which others are asked.
 	awayDelay = 200 * time.Millisecond
 	// contactInterval is the time between two questions to instances that may not be members.
@@ -30,8 +27,8 @@
 	Follow struct {
 		To    netip.AddrPort
 		Known map[Kind]ident.Revision
-		// Wait is the time for which the other instance may wait for news.
-		Wait time.Duration
+		// Wait is the time for which the other instance may wait for news, Timeout that after which it has failed.
+		Wait, Timeout time.Duration
 	}
 )
 
@@ -124,7 +121,8 @@
 		for _, k := range KindValues() {
 			known[k] = st.known[k]
 		}
-		out = append(out, Follow{To: to, Known: known, Wait: relay.FollowWait})
+		wait, timeout := st.course.Wait()
+		out = append(out, Follow{To: to, Known: known, Wait: wait, Timeout: timeout})
 	}
 	return out
 }
--- a/goldcreststand/internal/mesh/follow.go
+++ b/goldcreststand/internal/mesh/follow.go
@@ -26,7 +26,7 @@
 
 // ask asks the instance and reads its reply.
 func (m *Mesh) ask(ctx context.Context, a hub.Follow) hub.Followed {
-	ctx, cancel := context.WithTimeout(ctx, a.Wait+hub.FollowSlack)
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
 	out := hub.Followed{From: a.To}
 	req := &wire.FollowRequest{Sender: m.self.ID, Wait: int(a.Wait.Milliseconds())}
