wire: content above the limit is an error

Cause: a test of Packed, written after the code: content above 8 MB was cut at the limit without a word, and would have been read as a short list. No other behaviour changes.

--- a/goldcreststand/internal/feed/follow_test.go
+++ b/goldcreststand/internal/feed/follow_test.go
@@ -53,15 +53,19 @@
 	return nil
 }
 
+func newFollower(s feed.Source[ident.DomainName], p feed.Poster, on *feed.Switch) *feed.Follower[ident.DomainName] {
+	clock := clockwork.NewRealClock()
+	event := func(b store.Batch[ident.DomainName]) hub.Event { return hub.Evacuations{Batch: b} }
+	return feed.New(hub.KindEvacuations, s, event, p, feed.NewGate(clock), on, clock, time.Millisecond)
+}
+
 // run follows the source until it has made the calls, and returns the events.
 func run(t *testing.T, s *source, calls ...string) []hub.Event {
 	s.calls = make(chan string, 16)
 	p := poster{events: make(chan hub.Event, 16)}
-	clock := clockwork.NewRealClock()
 	on := feed.NewSwitch()
 	on.Set(true)
-	f := feed.New(hub.KindEvacuations, s, func(b store.Batch[ident.DomainName]) hub.Event { return hub.Evacuations{Batch: b} },
-		p, feed.NewGate(clock), on, clock, time.Millisecond)
+	f := newFollower(s, p, on)
 	ctx, cancel := context.WithCancel(t.Context())
 	go f.Run(ctx)
 	for _, want := range calls {
--- a/goldcreststand/internal/feed/switch_test.go
+++ b/goldcreststand/internal/feed/switch_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"testing"
-	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"goldcreststand.example/core/ident"
@@ -19,10 +17,8 @@
 func TestSwitch(t *testing.T) {
 	s := &source{lists: []reply{{batch: batch(1)}, {batch: batch(2)}}, calls: make(chan string, 16)}
 	p := poster{events: make(chan hub.Event, 16)}
-	clock := clockwork.NewRealClock()
 	on := feed.NewSwitch()
-	f := feed.New(hub.KindEvacuations, s, func(b store.Batch[ident.DomainName]) hub.Event { return hub.Evacuations{Batch: b} },
-		p, feed.NewGate(clock), on, clock, time.Millisecond)
+	f := newFollower(s, p, on)
 	ctx, cancel := context.WithCancel(t.Context())
 	go f.Run(ctx)
 	require.Empty(t, s.calls)
@@ -57,10 +53,8 @@
 func TestNewsIsPostedAfterTheSwitchIsOff(t *testing.T) {
 	s := &slowSource{source: source{calls: make(chan string, 16)}, release: make(chan struct{})}
 	p := poster{events: make(chan hub.Event, 16)}
-	clock := clockwork.NewRealClock()
 	on := feed.NewSwitch()
-	f := feed.New(hub.KindEvacuations, s, func(b store.Batch[ident.DomainName]) hub.Event { return hub.Evacuations{Batch: b} },
-		p, feed.NewGate(clock), on, clock, time.Millisecond)
+	f := newFollower(s, p, on)
 	ctx, cancel := context.WithCancel(t.Context())
 	go f.Run(ctx)
 	on.Set(true)
--- a/schema/wire/packed.go
+++ b/schema/wire/packed.go
@@ -5,12 +5,16 @@
 	"compress/flate"
 	"io"
 	"sync"
+
+	"github.com/zeebo/errs"
 )
 
 // maxUnpacked is the size in bytes of the largest content of a Packed that is read. A configuration of several
 // thousand routes has about 1 MB.
 const maxUnpacked = 8 << 20
 
+var errUnpacked = errs.New("content is larger than the limit")
+
 // Packed is content that is compressed on the wire, since large fleets hear of changes over slow links.
 type Packed []byte
 
@@ -40,7 +44,11 @@
 	return out.Bytes(), nil
 }
 
-// Unpack returns the content.
+// Unpack returns the content. Content above the limit, and content that was cut short, is an error.
 func (p Packed) Unpack() ([]byte, error) {
-	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(p)), maxUnpacked))
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(p)), maxUnpacked+1))
+	if err == nil && len(out) > maxUnpacked {
+		err = errUnpacked
+	}
+	return out, err
 }
