relay, hub, mesh, platform: usual terms for names and comments

relay.Subscription, hub.Freshness, mesh's excerpt cache, site.Notifier and hub.dropOutdated have the names of the field in place of figurative ones; the subscription has a file of its own. No change of behaviour; the log line "received news from a source" is new in its words.

--- a/core/relay/fleet_test.go
+++ b/core/relay/fleet_test.go
@@ -29,9 +29,9 @@
 
 // node is one instance.
 type node struct {
-	self   ring.Member
-	course *relay.Course
-	known  int
+	self  ring.Member
+	sub   *relay.Subscription
+	known int
 	// parted is cut off from all other instances, away from the store, which is silent. The node does not notice.
 	parted, away bool
 	// wakes is the time since when it watches the store.
@@ -49,20 +49,20 @@
 	f := &fleet{now: start, nodes: make(map[netip.AddrPort]*node)}
 	ms := members(n)
 	for _, m := range ms {
-		x := &node{self: m, course: relay.NewCourse(m, start), reached: start}
-		x.course.SetMembers(ms, start)
+		x := &node{self: m, sub: relay.NewSubscription(m, start), reached: start}
+		x.sub.SetMembers(ms, start)
 		f.nodes[m.Peer] = x
 		f.order = append(f.order, x)
 	}
 	return f
 }
 
-// age is the time since the store's word was new at the node, as the node believes.
+// age is the time since the node was up to date with the store, as far as it can tell.
 func (f *fleet) age(x *node) time.Duration {
 	if !x.wakes.IsZero() && f.now.Sub(x.wakes) >= readTime {
 		return 0
 	}
-	return f.now.Sub(x.course.Heard())
+	return f.now.Sub(x.sub.UpToDate())
 }
 
 func (f *fleet) advance() {
@@ -76,7 +76,7 @@
 
 // read lets the node hear from the store itself.
 func (f *fleet) read(x *node) {
-	if !x.course.Watches(f.now) {
+	if !x.sub.Watches(f.now) {
 		x.wakes = time.Time{}
 		return
 	}
@@ -90,25 +90,25 @@
 
 // ask lets the node ask a source, or its question end.
 func (f *fleet) ask(x *node) {
-	if !x.course.Asks() {
+	if !x.sub.Asks() {
 		return
 	}
 	if s := x.asked; s != nil {
 		silent := x.parted || s.parted
 		switch waited := f.now.Sub(x.since); {
 		case silent && waited >= x.timeout:
-			x.course.Failed(s.self.Peer, f.now)
+			x.sub.Failed(s.self.Peer, f.now)
 			x.asked = nil
 		case !silent && (s.known > x.known || waited >= x.wait):
 			x.known = max(x.known, s.known)
-			x.course.Replied(s.self.Peer, f.age(s), f.now)
+			x.sub.Replied(s.self.Peer, f.age(s), f.now)
 			x.asked = nil
 		}
 	}
 	if x.asked == nil {
-		if to, ok := x.course.Source(f.now); ok {
+		if to, ok := x.sub.Source(f.now); ok {
 			x.asked, x.since = f.nodes[to], f.now
-			x.wait, x.timeout = x.course.Wait()
+			x.wait, x.timeout = x.sub.Wait()
 		}
 	}
 }
--- a/core/relay/relay_test.go
+++ b/core/relay/subscription_test.go
@@ -46,15 +46,15 @@
 }
 
 // follower returns the course of an instance that is no watcher and was listed before it started.
-func follower(t *testing.T) *relay.Course {
+func follower(t *testing.T) *relay.Subscription {
 	ms := members(40)
-	c := relay.NewCourse(ms[9], start)
+	c := relay.NewSubscription(ms[9], start)
 	c.SetMembers(ms, start)
 	require.False(t, c.Watches(start))
 	return c
 }
 
-// Guards against an instance that hears from one source only, which may be cut off from the store.
+// Guards against an instance that asks one source only, which may be cut off from the store.
 func TestSourcesTakeTurns(t *testing.T) {
 	c := follower(t)
 	seen := make(map[netip.AddrPort]int)
@@ -87,7 +87,7 @@
 	require.True(t, ok)
 }
 
-// Guards against an instance that waits for sources that do not tell it the store's word, and against one that reads
+// Guards against an instance that waits for sources that are not up to date, and against one that reads
 // the store while they do.
 func TestWatches(t *testing.T) {
 	ms := members(40)
@@ -106,7 +106,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			c := relay.NewCourse(ms[9], start)
+			c := relay.NewSubscription(ms[9], start)
 			if tt.listed {
 				c.SetMembers(ms, start)
 			} else {
@@ -134,7 +134,7 @@
 // Guards against an instance that reads the store again when another one takes its place as a watcher.
 func TestFormerWatcherTrustsWhatItKnows(t *testing.T) {
 	ms := members(40)
-	c := relay.NewCourse(ms[8], start)
+	c := relay.NewSubscription(ms[8], start)
 	c.SetMembers(ms[:20], start)
 	require.True(t, c.Watches(start))
 	now := start.Add(time.Minute)
@@ -147,7 +147,7 @@
 // reads the store because it has seen a part of the list only.
 func TestSmallFleet(t *testing.T) {
 	ms := members(40)
-	c := relay.NewCourse(ms[9], start)
+	c := relay.NewSubscription(ms[9], start)
 	c.SetMembers(ms[:9], start)
 	require.False(t, c.Watches(start))
 	require.True(t, c.Asks())
@@ -171,7 +171,7 @@
 	s, _ := c.Source(start)
 	c.Replied(s, time.Minute, start)
 	_, again := c.Wait()
-	require.Equal(t, timeout, again, "a source that has heard nothing either says nothing")
+	require.Equal(t, timeout, again, "a reply of a source that is not up to date changed the timeout")
 	c.Replied(s, 0, start)
 	wait, timeout := c.Wait()
 	require.Greater(t, wait, 250*time.Millisecond)
--- a/goldcreststand/internal/cmd/kinds.go
+++ b/goldcreststand/internal/cmd/kinds.go
@@ -60,7 +60,7 @@
 
 // kinds holds all kinds that control follows.
 type kinds struct {
-	news     *site.News
+	changes  *site.Notifier
 	all      map[hub.Kind]kind
 	switches map[hub.Kind]*feed.Switch
 }
@@ -68,8 +68,8 @@
 var _ mesh.Copies = (*kinds)(nil)
 
 func newKinds(c *site.Client, clock clockwork.Clock) *kinds {
-	n := site.NewNews()
-	ks := &kinds{news: n, switches: make(map[hub.Kind]*feed.Switch)}
+	n := site.NewNotifier()
+	ks := &kinds{changes: n, switches: make(map[hub.Kind]*feed.Switch)}
 	for _, k := range hub.KindValues() {
 		ks.switches[k] = feed.NewSwitch()
 	}
@@ -97,7 +97,7 @@
 func (ks *kinds) Known(k hub.Kind) ident.Revision { return ks.all[k].known() }
 
 // Next returns a channel that is closed when a kind changes.
-func (ks *kinds) Next() <-chan struct{} { return ks.news.Next() }
+func (ks *kinds) Next() <-chan struct{} { return ks.changes.Next() }
 
 // Export returns the objects of a kind that changed after the revision, in the store's form.
 func (ks *kinds) Export(k hub.Kind, from ident.Revision) (json.RawMessage, ident.Revision, error) {
--- a/goldcreststand/internal/hub/follow.go
+++ b/goldcreststand/internal/hub/follow.go
@@ -15,7 +15,7 @@
 	awayDelay = 200 * time.Millisecond
 	// contactInterval is the time between two questions to instances that may not be members.
 	contactInterval = 500 * time.Millisecond
-	// maxAge bounds the age that an instance tells, which is without end while it has heard nothing.
+	// maxAge bounds the age that an instance reports, which is unlimited until it is up to date for the first time.
 	maxAge = time.Minute
 )
 
@@ -40,15 +40,15 @@
 type Followed struct {
 	From netip.AddrPort
 	Err  error
-	Standing
+	Freshness
 	News []Event
 }
 
 var _ Event = Followed{}
 
-// Standing says how new the store's word is at an instance.
-type Standing struct {
-	// Age is the time since the store's word was new.
+// Freshness says how up to date an instance is with the store.
+type Freshness struct {
+	// Age is the time since the instance was up to date.
 	Age time.Duration
 	// Grace is the time for which servers that are missing may still come back, because the store was away.
 	Grace time.Duration
@@ -70,19 +70,19 @@
 // sourceEnded notes whether the source replied.
 func (st *state) sourceEnded(e Followed) {
 	if e.Err == nil {
-		st.course.Replied(e.From, e.Age, st.now)
+		st.sub.Replied(e.From, e.Age, st.now)
 		if st.unreached == e.From {
 			st.unreached = netip.AddrPort{}
 			st.belief("source replies again", logrus.Fields{"source": e.From.String(), "age": e.Age.Milliseconds()})
 		}
 		if len(e.News) > 0 {
-			st.belief("heard from a source", logrus.Fields{
+			st.belief("received news from a source", logrus.Fields{
 				"source": e.From.String(), "kinds": len(e.News), "age": e.Age.Milliseconds(), "grace": e.Grace.Milliseconds(),
 			})
 		}
 		return
 	}
-	st.course.Failed(e.From, st.now)
+	st.sub.Failed(e.From, st.now)
 	if st.unreached != e.From {
 		st.unreached = e.From
 		st.belief("source does not reply", logrus.Fields{"source": e.From.String(), "error": e.Err.Error()})
@@ -92,7 +92,7 @@
 // follow decides which kinds this instance follows in the store, and whom it asks for the others.
 func (st *state) follow() []Action {
 	var out []Action
-	watches := st.course.Watches(st.now)
+	watches := st.sub.Watches(st.now)
 	kinds := make(map[Kind]bool)
 	for _, k := range KindValues() {
 		// The list of members says who watches the store.
@@ -102,7 +102,7 @@
 	}
 	if !maps.Equal(kinds, st.watched) {
 		st.belief("following the store", logrus.Fields{
-			"kinds": len(kinds), "of": len(KindValues()), "age": st.standing().Age.Milliseconds(), "members": len(st.members),
+			"kinds": len(kinds), "of": len(KindValues()), "age": st.freshness().Age.Milliseconds(), "members": len(st.members),
 		})
 		st.watched = kinds
 		for k := range st.lost {
@@ -112,7 +112,7 @@
 		}
 		out = append(out, Watch{Kinds: kinds})
 	}
-	if st.asking || !st.course.Asks() && !st.away() {
+	if st.asking || !st.sub.Asks() && !st.away() {
 		return out
 	}
 	if to, ok := st.source(); ok {
@@ -121,13 +121,13 @@
 		for _, k := range KindValues() {
 			known[k] = st.known[k]
 		}
-		wait, timeout := st.course.Wait()
+		wait, timeout := st.sub.Wait()
 		out = append(out, Follow{To: to, Known: known, Wait: wait, Timeout: timeout})
 	}
 	return out
 }
 
-// away reports whether this instance has not heard from the store about some kind for a while.
+// away reports whether this instance has had no reply of the store about some kind for a while.
 func (st *state) away() bool {
 	for _, k := range KindValues() {
 		since, lost := st.lost[k]
@@ -145,7 +145,7 @@
 // and those of the settings.
 func (st *state) source() (netip.AddrPort, bool) {
 	if len(st.members) > 0 {
-		return st.course.Source(st.now)
+		return st.sub.Source(st.now)
 	}
 	if st.now.Sub(st.started) < awayDelay || st.now.Sub(st.contacted) < contactInterval {
 		return netip.AddrPort{}, false
@@ -162,17 +162,17 @@
 	return contacts[st.turn%len(contacts)], true
 }
 
-// age returns the time since the store's word was new at this instance.
+// age returns the time since this instance was up to date with the store.
 func (st *state) age() time.Duration {
-	heard := st.course.Heard()
-	if own, ok := st.spoken(); ok && own.After(heard) {
-		heard = own
+	at := st.sub.UpToDate()
+	if own, ok := st.watchedUntil(); ok && own.After(at) {
+		at = own
 	}
-	return st.now.Sub(heard)
+	return st.now.Sub(at)
 }
 
-// spoken returns the time until which the store itself told this instance of all kinds.
-func (st *state) spoken() (time.Time, bool) {
+// watchedUntil returns the time until which this instance's own watches of all kinds were up to date.
+func (st *state) watchedUntil() (time.Time, bool) {
 	at := st.now
 	for _, k := range KindValues() {
 		if !st.watched[k] || !st.loaded[k] {
@@ -185,7 +185,7 @@
 	return at, true
 }
 
-// standing returns what this instance tells those that follow it.
-func (st *state) standing() Standing {
-	return Standing{Age: min(st.age(), maxAge), Grace: max(0, st.grace.Sub(st.now))}
+// freshness returns what this instance reports to those that ask it.
+func (st *state) freshness() Freshness {
+	return Freshness{Age: min(st.age(), maxAge), Grace: max(0, st.grace.Sub(st.now))}
 }
--- a/goldcreststand/internal/hub/loop.go
+++ b/goldcreststand/internal/hub/loop.go
@@ -49,22 +49,22 @@
 
 // Loop is the control goroutine's handle for everyone else.
 type Loop struct {
-	clock    clockwork.Clock
-	elapsed  ElapsedClock
-	exec     Executor
-	events   chan Event
-	outcomes chan route.Outcome
-	dropped  atomic.Int64
-	done     chan struct{}
-	view     atomic.Pointer[spread.View]
-	standing atomic.Pointer[standingAt]
-	state    *state
-	ticked   time.Duration
+	clock     clockwork.Clock
+	elapsed   ElapsedClock
+	exec      Executor
+	events    chan Event
+	outcomes  chan route.Outcome
+	dropped   atomic.Int64
+	done      chan struct{}
+	view      atomic.Pointer[spread.View]
+	freshness atomic.Pointer[freshnessAt]
+	state     *state
+	ticked    time.Duration
 }
 
-// standingAt is the standing of the instance at a time.
-type standingAt struct {
-	Standing
+// freshnessAt is the freshness of the instance at a time.
+type freshnessAt struct {
+	Freshness
 	at time.Time
 }
 
@@ -76,7 +76,7 @@
 		done: make(chan struct{}), state: newState(self, clock.Now(), log),
 	}
 	l.view.Store(l.state.view())
-	l.standing.Store(&standingAt{l.state.standing(), l.state.now})
+	l.freshness.Store(&freshnessAt{l.state.freshness(), l.state.now})
 	return l
 }
 
@@ -86,11 +86,11 @@
 // Load returns the newest view; it is never nil.
 func (l *Loop) Load() *spread.View { return l.view.Load() }
 
-// Standing returns how new the store's word is at this instance now.
-func (l *Loop) Standing() Standing {
-	s := l.standing.Load()
+// Freshness returns how up to date this instance is with the store now.
+func (l *Loop) Freshness() Freshness {
+	s := l.freshness.Load()
 	since := l.clock.Since(s.at)
-	return Standing{Age: s.Age + since, Grace: max(0, s.Grace-since)}
+	return Freshness{Age: s.Age + since, Grace: max(0, s.Grace-since)}
 }
 
 // Dropped returns the number of outcomes that control had no room for.
@@ -160,7 +160,7 @@
 		l.state.changed = false
 		l.view.Store(l.state.view())
 	}
-	l.standing.Store(&standingAt{l.state.standing(), l.state.now})
+	l.freshness.Store(&freshnessAt{l.state.freshness(), l.state.now})
 	for _, a := range actions {
 		l.exec.Do(a)
 	}
--- a/goldcreststand/internal/hub/sift.go
+++ b/goldcreststand/internal/hub/merge.go
@@ -15,7 +15,7 @@
 	}
 	st.known[k] = max(st.known[k], asOf)
 	if whole {
-		st.listed[k] = asOf
+		st.listRevisions[k] = asOf
 	}
 	if !st.loaded[k] {
 		st.loaded[k], st.changed = true, true
@@ -23,19 +23,19 @@
 	return false
 }
 
-// sift drops what a batch says of objects of which something newer is known: the store and other instances tell of the
+// dropOutdated drops what a batch says of objects of which something newer is known: the store and other instances tell of the
 // same changes.
-func sift[T any](st *state, k Kind, b store.Batch[T]) store.Batch[T] {
+func dropOutdated[T any](st *state, k Kind, b store.Batch[T]) store.Batch[T] {
 	if b.Whole && b.AsOf < st.known[k] {
 		return b
 	}
-	told := st.told[k]
+	told := st.objectRevisions[k]
 	if told == nil || b.Whole {
 		told = make(map[string]ident.Revision)
-		st.told[k] = told
+		st.objectRevisions[k] = told
 	}
 	newer := func(name string, rev ident.Revision) bool {
-		if !b.Whole && (rev < st.listed[k] || rev < told[name]) {
+		if !b.Whole && (rev < st.listRevisions[k] || rev < told[name]) {
 			return false
 		}
 		told[name] = rev
--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -107,9 +107,10 @@
 	known map[Kind]ident.Revision
 	// grace is the time until which a missing server may still come back.
 	grace time.Time
-	// listed is the revision of the last list of each kind, and told that of the newest word on each object.
-	listed map[Kind]ident.Revision
-	told   map[Kind]map[string]ident.Revision
+	// listRevisions holds the revision of the last list of each kind, and objectRevisions those of the last news of
+	// each object.
+	listRevisions   map[Kind]ident.Revision
+	objectRevisions map[Kind]map[string]ident.Revision
 	// announced, pinged, reported and contacted are the times of the last such actions.
 	announced, pinged, reported, contacted time.Time
 	// met is the address of an instance that pinged this one.
@@ -117,7 +118,7 @@
 	// turn counts the contacts asked, so that each question goes to another one.
 	turn int
 	// course says whether this instance watches the store, and which others it asks.
-	course *relay.Course
+	sub *relay.Subscription
 	// watched are the kinds that are followed in the store.
 	watched map[Kind]bool
 	// asking says that a question to another instance is under way, unreached which did not reply to the last one.
@@ -150,8 +151,8 @@
 		servers: make(map[ident.ServerID]*server), services: make(map[ident.ServiceName]*service),
 		out: make(map[ident.DomainName]bool), owner: make(map[ident.ServerID]bool), watch: ring.New(self.ID),
 		loaded: make(map[Kind]bool), lost: make(map[Kind]time.Time), known: make(map[Kind]ident.Revision),
-		listed: make(map[Kind]ident.Revision), told: make(map[Kind]map[string]ident.Revision),
-		course: relay.NewCourse(self.Member, now),
+		listRevisions: make(map[Kind]ident.Revision), objectRevisions: make(map[Kind]map[string]ident.Revision),
+		sub: relay.NewSubscription(self.Member, now),
 	}
 }
 
--- a/goldcreststand/internal/hub/storeevents.go
+++ b/goldcreststand/internal/hub/storeevents.go
@@ -55,7 +55,7 @@
 )
 
 func (e Configs) apply(st *state) []Action {
-	b := sift(st, KindConfig, e.Batch)
+	b := dropOutdated(st, KindConfig, e.Batch)
 	if st.load(KindConfig, b.Whole, b.AsOf) {
 		return nil
 	}
@@ -73,7 +73,7 @@
 }
 
 func (e Servers) apply(st *state) []Action {
-	b := sift(st, KindServers, e.Batch)
+	b := dropOutdated(st, KindServers, e.Batch)
 	first := !st.loaded[KindServers]
 	if st.load(KindServers, b.Whole, b.AsOf) {
 		return nil
@@ -180,7 +180,7 @@
 }
 
 func (e Orders) apply(st *state) []Action {
-	b := sift(st, KindOrders, e.Batch)
+	b := dropOutdated(st, KindOrders, e.Batch)
 	if st.load(KindOrders, b.Whole, b.AsOf) {
 		return nil
 	}
@@ -243,7 +243,7 @@
 }
 
 func (e Evacuations) apply(st *state) []Action {
-	b := sift(st, KindEvacuations, e.Batch)
+	b := dropOutdated(st, KindEvacuations, e.Batch)
 	if st.load(KindEvacuations, b.Whole, b.AsOf) {
 		return nil
 	}
@@ -274,7 +274,7 @@
 }
 
 func (e Members) apply(st *state) []Action {
-	b := sift(st, KindMembers, e.Batch)
+	b := dropOutdated(st, KindMembers, e.Batch)
 	if st.load(KindMembers, b.Whole, b.AsOf) {
 		return nil
 	}
@@ -301,7 +301,7 @@
 	}
 	st.members, st.changed = members, true
 	clear(st.owner)
-	st.course.SetMembers(members, st.now)
+	st.sub.SetMembers(members, st.now)
 	return append(st.announce(), st.follow()...)
 }
 
--- a/goldcreststand/internal/mesh/shelf.go
+++ b/goldcreststand/internal/mesh/cache.go
@@ -21,33 +21,35 @@
 	Import(k hub.Kind, raw json.RawMessage) (hub.Event, error)
 }
 
-// shelf keeps the last excerpt of each kind, because all that follow this instance ask for the same one. It is safe
+// excerptCache keeps the last excerpt of each kind, because all that follow this instance ask for the same one. It is safe
 // for concurrent use.
-type shelf struct {
+type excerptCache struct {
 	copies Copies
 	packer wire.Packer
 
-	mu    sync.Mutex
-	packs map[hub.Kind]pack
+	mu     sync.Mutex
+	cached map[hub.Kind]cachedExcerpt
 }
 
-// pack is what changed between two revisions.
-type pack struct {
+// cachedExcerpt is what changed between two revisions.
+type cachedExcerpt struct {
 	from, to ident.Revision
 	content  wire.Packed
 }
 
-func newShelf(c Copies) *shelf { return &shelf{copies: c, packs: make(map[hub.Kind]pack)} }
+func newExcerptCache(c Copies) *excerptCache {
+	return &excerptCache{copies: c, cached: make(map[hub.Kind]cachedExcerpt)}
+}
 
 // take returns the excerpt after the revision, and whether there is anything newer.
-func (s *shelf) take(k hub.Kind, from ident.Revision) (wire.Packed, bool, error) {
+func (s *excerptCache) take(k hub.Kind, from ident.Revision) (wire.Packed, bool, error) {
 	known := s.copies.Known(k)
 	if known <= from {
 		return nil, false, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p := s.packs[k]; p.from == from && p.to >= known {
+	if p := s.cached[k]; p.from == from && p.to >= known {
 		return p.content, true, nil
 	}
 	raw, to, err := s.copies.Export(k, from)
@@ -58,6 +60,6 @@
 	if err != nil {
 		return nil, false, err
 	}
-	s.packs[k] = pack{from: from, to: to, content: content}
+	s.cached[k] = cachedExcerpt{from: from, to: to, content: content}
 	return content, true, nil
 }
--- a/goldcreststand/internal/mesh/follow.go
+++ b/goldcreststand/internal/mesh/follow.go
@@ -11,9 +11,9 @@
 // errBusy says that too many calls of other instances wait.
 var errBusy = Error.New("too many calls wait")
 
-// Standings tells how new the store's word is at this instance.
-type Standings interface {
-	Standing() hub.Standing
+// Control reports how up to date this instance is with the store.
+type Control interface {
+	Freshness() hub.Freshness
 }
 
 // Follow asks an instance for what it knows at a newer revision, and posts it.
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, Error.New("%s: %w", x.Kind, err)
 	}
-	ev, err := m.shelf.copies.Import(k, raw)
+	ev, err := m.excerpts.copies.Import(k, raw)
 	return ev, Error.Wrap(err)
 }
 
@@ -69,7 +69,7 @@
 func (m *Mesh) follow(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error) {
 	timeout := m.clock.After(millis(r.Wait))
 	for {
-		next := m.shelf.copies.Next()
+		next := m.excerpts.copies.Next()
 		news, err := m.news(r)
 		if err != nil {
 			return nil, err
@@ -95,7 +95,7 @@
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
-		content, newer, err := m.shelf.take(k, w.Known)
+		content, newer, err := m.excerpts.take(k, w.Known)
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
@@ -107,7 +107,7 @@
 }
 
 func (m *Mesh) reply(news []wire.Excerpt) *wire.FollowReply {
-	st := m.state.Standing()
+	st := m.state.Freshness()
 	return &wire.FollowReply{Age: int(st.Age.Milliseconds()), Grace: int(st.Grace.Milliseconds()), News: news}
 }
 
--- a/goldcreststand/internal/mesh/mesh.go
+++ b/goldcreststand/internal/mesh/mesh.go
@@ -47,19 +47,19 @@
 
 // Mesh is both ends of the methods between instances.
 type Mesh struct {
-	self   ring.Member
-	link   Link
-	poster Poster
-	shelf  *shelf
-	state  Standings
-	clock  clockwork.Clock
-	log    Log
-	pool   *worker.Pool
+	self     ring.Member
+	link     Link
+	poster   Poster
+	excerpts *excerptCache
+	state    Control
+	clock    clockwork.Clock
+	log      Log
+	pool     *worker.Pool
 }
 
 // New returns a mesh that has not started.
-func New(self ring.Member, l Link, p Poster, st Standings, c Copies, clock clockwork.Clock, log Log) *Mesh {
-	return &Mesh{self: self, link: l, poster: p, shelf: newShelf(c), state: st, clock: clock, log: log, pool: worker.New(callers)}
+func New(self ring.Member, l Link, p Poster, st Control, c Copies, clock clockwork.Clock, log Log) *Mesh {
+	return &Mesh{self: self, link: l, poster: p, excerpts: newExcerptCache(c), state: st, clock: clock, log: log, pool: worker.New(callers)}
 }
 
 // Register adds the methods to the peer.
--- a/goldcreststand/internal/mesh/mesh_test.go
+++ b/goldcreststand/internal/mesh/mesh_test.go
@@ -82,9 +82,9 @@
 	events chan hub.Event
 }
 
-// Standing returns what the instance tells of itself.
-func (i *instance) Standing() hub.Standing {
-	return hub.Standing{Age: 70 * time.Millisecond, Grace: 900 * time.Millisecond}
+// Freshness returns what the instance reports of itself.
+func (i *instance) Freshness() hub.Freshness {
+	return hub.Freshness{Age: 70 * time.Millisecond, Grace: 900 * time.Millisecond}
 }
 
 // Post keeps the event, and answers a report as the instance that decides would.
@@ -163,12 +163,12 @@
 	require.Equal(t, hub.Advised{Service: "one", Attempt: 4}, next[hub.Advised](t, a))
 }
 
-// Guards against news of what the asking instance knows already, and against news without its source's standing.
+// Guards against news of what the asking instance knows already, and against news without its source's freshness.
 func TestFollow(t *testing.T) {
 	a, b := newInstance(t, "a", 0), newInstance(t, "b", 9)
 	a.mesh.Follow(hub.Follow{To: b.member.Peer, Known: map[hub.Kind]ident.Revision{hub.KindConfig: 9, hub.KindServers: 10, hub.KindMembers: 8}, Timeout: patience})
 	require.Equal(t, hub.Followed{
-		From: b.member.Peer, Standing: b.Standing(), News: []hub.Event{hub.Members{Batch: store.Batch[ring.Member]{AsOf: 8}}},
+		From: b.member.Peer, Freshness: b.Freshness(), News: []hub.Event{hub.Members{Batch: store.Batch[ring.Member]{AsOf: 8}}},
 	}, next[hub.Followed](t, a))
 }
 
@@ -184,7 +184,7 @@
 	require.Len(t, next[hub.Followed](t, a).News, 1)
 }
 
-// Guards against a question whose end control never hears of, after which it would ask nobody.
+// Guards against a question whose end is not posted, after which control would ask nobody.
 func TestFollowTellsOfFailures(t *testing.T) {
 	a, b := newInstance(t, "a", 0), newInstance(t, "b", 9)
 	a.mesh.Follow(hub.Follow{To: b.member.Peer, Known: map[hub.Kind]ident.Revision{hub.KindConfig: 8}, Timeout: patience})
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -361,7 +361,7 @@
 
 // FollowReply is the result of the method follow.
 type FollowReply struct {
-	// Time in milliseconds since the store's word last reached the replying instance.
+	// Time in milliseconds since the replying instance was up to date with the store.
 	Age int `json:"age"`
 
 	// Time in milliseconds for which objects that are missing may still come back.
@@ -404,8 +404,8 @@
 	return nil
 }
 
-// FollowRequest is the parameter of the method follow: the sender wants to hear of
-// newer objects.
+// FollowRequest is the parameter of the method follow: the sender asks for newer
+// objects.
 type FollowRequest struct {
 	// Instance that asks.
 	Sender ident.InstanceID `json:"sender"`
