canary: a rollout needs room for 2 s before it is completed

What follows cannot be taken back: the old servers stop. Change: the end needs 2 s of room; the steps before need 0.8 s as they did. Test: TestTrialNeedsRoom has a dip of 1.4 s, and now reaches the last part of the time, which its 14 s did not; it fails without the change.

--- a/core/canary/trial.go
+++ b/core/canary/trial.go
@@ -35,6 +35,9 @@
 	// phaseTime is the least time in a phase: the news of a phase takes up to 0.4 s to reach all
 	// instances, and their counts 0.2 s to come back.
 	phaseTime = 800 * time.Millisecond
+	// roomTime is the time for which the new version's servers must have had room at the end, which cannot be taken
+	// back: the old ones stop. It is the longest that fits into the last phase of a rollout of 16 s.
+	roomTime = 2 * time.Second
 	// maxUse is the mean use of the new version's servers, as a part of the calls at which they work at full
 	// pace, beyond which they cannot carry the service: bursts bring half as many calls again.
 	maxUse = 0.65
@@ -251,7 +254,7 @@
 		return PhaseQuarter, "trial passed"
 	case t.phase == PhaseQuarter && part >= halfPart, t.phase == PhaseHalf && part >= wholePart:
 		return t.phase + 1, "step passed"
-	case t.phase == PhaseWhole && part >= donePart:
+	case t.phase == PhaseWhole && part >= donePart && now.Sub(t.tight) >= roomTime:
 		return PhaseDone, "all calls are served by the new version"
 	}
 	return t.phase, ""
--- a/core/canary/trial_test.go
+++ b/core/canary/trial_test.go
@@ -134,18 +134,27 @@
 }
 
 // Guards against a version that gets all calls for good while its servers have too little room, also when the
-// measured use dips for a moment.
+// measured use dips for a moment or for a second.
 func TestTrialNeedsRoom(t *testing.T) {
+	for name, dips := range map[string]func(step int) bool{
+		"moments": func(i int) bool { return i%5 == 0 },
+		"seconds": func(i int) bool { return (i+5)%10 > 2 },
+	} {
+		t.Run(name, func(t *testing.T) { testTrialNeedsRoom(t, dips) })
+	}
+}
+
+func testTrialNeedsRoom(t *testing.T, dips func(step int) bool) {
 	w := newTrialWorld(1, 4, 100)
 	w.failing = 0.004
 	order := &canary.Order{Service: "s", Attempt: 1, Version: "v2", Duration: 16 * time.Second, Begun: true, Phase: canary.PhaseWhole}
 	trial := w.trials[0]
 	trial.SetOrder(order, w.now)
-	for i := range 70 {
+	for i := range 75 {
 		w.calls(200*time.Millisecond, 0)
 		trial.Merge("a", trial.Report())
 		use := 0.9
-		if i%5 == 0 {
+		if dips(i) {
 			use = 0.5
 		}
 		phase, _ := trial.Decide(12, use, w.now)
