--- a/core/canary/trial.go
+++ b/core/canary/trial.go
@@ -36,7 +36,7 @@
 	// instances, and their counts 0.2 s to come back.
 	phaseTime = 800 * time.Millisecond
 	// roomTime is the time for which the new version's servers must have had room at the end, which cannot be taken
-	// back: the old ones stop. It is the longest that fits into the last phase of a rollout of 16 s.
+	// back: the old ones stop. The measured use dips for up to a second.
 	roomTime = 2 * time.Second
 	// maxUse is the mean use of the new version's servers, as a part of the calls at which they work at full
 	// pace, beyond which they cannot carry the service: bursts bring half as many calls again.
