hub, place: one check for old news, one order of candidates

Read of the whole change: a list that is older than what is known was recognised in two places, with the same lines before each of five events (hub.accept now); the order of candidates was written twice in core/place; a comment named a former field. No change of behaviour: the tests, with their assertions, are as they were.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -25,14 +25,22 @@
 // Ravishankar, "Using name-based mappings to increase hit rates", 1998), with the best node of each
 // failure domain before the second-best of any.
 func Order(key string, nodes []Node) []Node {
+	cs := candidates(key, nodes)
+	slices.SortFunc(cs, candidate.compare)
+	return spread(cs)
+}
+
+func candidates(key string, nodes []Node) []candidate {
 	cs := make([]candidate, len(nodes))
 	for i, n := range nodes {
 		cs[i] = candidate{node: n, score: score(key, n.ID)}
 	}
-	slices.SortFunc(cs, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node.ID, b.node.ID))
-	})
-	return spread(cs)
+	return cs
+}
+
+// compare orders candidates without regard to their failure domains.
+func (c candidate) compare(o candidate) int {
+	return cmp.Or(cmp.Compare(o.score, c.score), cmp.Compare(c.node.ID, o.node.ID))
 }
 
 // First returns the first count nodes in placement order for the key, without sorting the others.
@@ -40,25 +48,18 @@
 	if count >= len(nodes) {
 		return Order(key, nodes)
 	}
-	scores := make([]uint64, len(nodes))
-	for i, n := range nodes {
-		scores[i] = score(key, n.ID)
-	}
+	cs := candidates(key, nodes)
 	out := make([]Node, 0, count)
-	taken := make([]bool, len(nodes))
 	for len(out) < count {
-		best, least := -1, 0
-		for i, n := range nodes {
-			if taken[i] {
-				continue
-			}
-			r := inDomain(out, n.Domain)
-			if best < 0 || r < least || r == least && before(scores[i], n, scores[best], nodes[best]) {
-				best, least = i, r
+		best, least := 0, inDomain(out, cs[0].node.Domain)
+		for i, c := range cs[1:] {
+			r := inDomain(out, c.node.Domain)
+			if r < least || r == least && c.compare(cs[best]) < 0 {
+				best, least = i+1, r
 			}
 		}
-		taken[best] = true
-		out = append(out, nodes[best])
+		out = append(out, cs[best].node)
+		cs = slices.Delete(cs, best, best+1)
 	}
 	return out
 }
@@ -74,9 +75,6 @@
 	return count
 }
 
-// before reports whether the first node comes before the second one in their domain.
-func before(s uint64, n Node, t uint64, m Node) bool { return s > t || s == t && n.ID < m.ID }
-
 // Serving returns the first count nodes in placement order of the service.
 func Serving(s ident.ServiceName, nodes []Node, count int) []Node {
 	return First(string(s), nodes, count)
--- a/goldcreststand/internal/hub/merge.go
+++ b/goldcreststand/internal/hub/merge.go
@@ -7,28 +7,26 @@
 	"goldcreststand.example/core/store"
 )
 
-// load notes that a kind was read. It reports whether the news is older than what is known, as a list may be that
-// was on its way while another instance told something newer.
-func (st *state) load(k Kind, whole bool, asOf ident.Revision) (old bool) {
-	if whole && asOf < st.known[k] {
-		return true
+// accept notes that a kind was read, and returns what the batch says of objects of which nothing newer is known: the
+// store and other instances tell of the same changes. It reports false for a list that is older than what is known, as
+// one may be that was on its way while another instance told something newer.
+func accept[T any](st *state, k Kind, b store.Batch[T]) (store.Batch[T], bool) {
+	if b.Whole && b.AsOf < st.known[k] {
+		return b, false
 	}
-	st.known[k] = max(st.known[k], asOf)
-	if whole {
-		st.listRevisions[k] = asOf
+	out := dropOutdated(st, k, b)
+	st.known[k] = max(st.known[k], b.AsOf)
+	if b.Whole {
+		st.listRevisions[k] = b.AsOf
 	}
 	if !st.loaded[k] {
 		st.loaded[k], st.changed = true, true
 	}
-	return false
+	return out, true
 }
 
-// dropOutdated drops what a batch says of objects of which something newer is known: the store and other instances tell of the
-// same changes.
+// dropOutdated drops what a batch says of objects of which something newer is known.
 func dropOutdated[T any](st *state, k Kind, b store.Batch[T]) store.Batch[T] {
-	if b.Whole && b.AsOf < st.known[k] {
-		return b
-	}
 	told := st.objectRevisions[k]
 	if told == nil || b.Whole {
 		told = make(map[string]ident.Revision)
--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -117,7 +117,7 @@
 	met netip.AddrPort
 	// turn counts the contacts asked, so that each question goes to another one.
 	turn int
-	// course says whether this instance watches the store, and which others it asks.
+	// sub says whether this instance watches the store, and which others it asks.
 	sub *relay.Subscription
 	// watched are the kinds that are followed in the store.
 	watched map[Kind]bool
--- a/goldcreststand/internal/hub/storeevents.go
+++ b/goldcreststand/internal/hub/storeevents.go
@@ -55,8 +55,8 @@
 )
 
 func (e Configs) apply(st *state) []Action {
-	b := dropOutdated(st, KindConfig, e.Batch)
-	if st.load(KindConfig, b.Whole, b.AsOf) {
+	b, ok := accept(st, KindConfig, e.Batch)
+	if !ok {
 		return nil
 	}
 	st.invalid(KindConfig, b.Invalid)
@@ -73,9 +73,9 @@
 }
 
 func (e Servers) apply(st *state) []Action {
-	b := dropOutdated(st, KindServers, e.Batch)
 	first := !st.loaded[KindServers]
-	if st.load(KindServers, b.Whole, b.AsOf) {
+	b, ok := accept(st, KindServers, e.Batch)
+	if !ok {
 		return nil
 	}
 	st.invalid(KindServers, b.Invalid)
@@ -180,8 +180,8 @@
 }
 
 func (e Orders) apply(st *state) []Action {
-	b := dropOutdated(st, KindOrders, e.Batch)
-	if st.load(KindOrders, b.Whole, b.AsOf) {
+	b, ok := accept(st, KindOrders, e.Batch)
+	if !ok {
 		return nil
 	}
 	st.invalid(KindOrders, b.Invalid)
@@ -243,8 +243,8 @@
 }
 
 func (e Evacuations) apply(st *state) []Action {
-	b := dropOutdated(st, KindEvacuations, e.Batch)
-	if st.load(KindEvacuations, b.Whole, b.AsOf) {
+	b, ok := accept(st, KindEvacuations, e.Batch)
+	if !ok {
 		return nil
 	}
 	out := make(map[ident.DomainName]bool)
@@ -274,8 +274,8 @@
 }
 
 func (e Members) apply(st *state) []Action {
-	b := dropOutdated(st, KindMembers, e.Batch)
-	if st.load(KindMembers, b.Whole, b.AsOf) {
+	b, ok := accept(st, KindMembers, e.Batch)
+	if !ok {
 		return nil
 	}
 	st.invalid(KindMembers, b.Invalid)
--- a/goldcreststand/internal/mesh/follow.go
+++ b/goldcreststand/internal/mesh/follow.go
@@ -107,7 +107,7 @@
 }
 
 func (m *Mesh) reply(news []wire.Excerpt) *wire.FollowReply {
-	st := m.state.Freshness()
+	st := m.control.Freshness()
 	return &wire.FollowReply{Age: int(st.Age.Milliseconds()), Grace: int(st.Grace.Milliseconds()), News: news}
 }
 
--- a/goldcreststand/internal/mesh/mesh.go
+++ b/goldcreststand/internal/mesh/mesh.go
@@ -51,15 +51,15 @@
 	link     Link
 	poster   Poster
 	excerpts *excerptCache
-	state    Control
+	control  Control
 	clock    clockwork.Clock
 	log      Log
 	pool     *worker.Pool
 }
 
 // New returns a mesh that has not started.
-func New(self ring.Member, l Link, p Poster, st Control, c Copies, clock clockwork.Clock, log Log) *Mesh {
-	return &Mesh{self: self, link: l, poster: p, excerpts: newExcerptCache(c), state: st, clock: clock, log: log, pool: worker.New(callers)}
+func New(self ring.Member, l Link, p Poster, ctl Control, c Copies, clock clockwork.Clock, log Log) *Mesh {
+	return &Mesh{self: self, link: l, poster: p, excerpts: newExcerptCache(c), control: ctl, clock: clock, log: log, pool: worker.New(callers)}
 }
 
 // Register adds the methods to the peer.
