edge: send nothing new to servers that are leaving or ask for a pause

Cause: no rule of the decisions knew what a server says about itself. A server that left was called until the list of servers reported it, and a server that answered 503 with Retry-After was sampled again after its backoff, or at once when no other was left.

Change: core/notice holds the decision (pure, no network). The dialect decodes Server-Leaving and Retry-After once; seconds, fractions, dates and absurd values are bounded by one minute. A server that is unavailable by its own word is neither checked nor called, and idle connections to it are closed when it leaves. A call for which every server pauses is rejected at once with the shortest of the times. Words in a misdirected response are another server's and are ignored.

Ruled out: telling other instances. Each call is preceded by a check on the connection that it takes, and the reply to the check says the same.

--- a/core/spread/sample.go
+++ b/core/spread/sample.go
@@ -12,7 +12,7 @@
 // Sample appends random servers that are not in dst: up to the number local from this instance's failure
 // domain and up to the number remote from the others. Remote servers replace local ones only if no local one is
 // available, because traffic between domains is expensive. Servers in backoff are used only if no other is
-// available.
+// available; those that are leaving or have asked for a pause are not used.
 func (p *Pool) Sample(dst []*Server, local, remote int, now time.Time, rng *rand.Rand) []*Server {
 	first := len(dst)
 	dst = appendSample(dst, p.Local, local, now, rng)
@@ -23,7 +23,7 @@
 	if len(dst) > first {
 		return dst
 	}
-	return appendBackedOff(dst, p, local+remote)
+	return appendBackedOff(dst, p, local+remote, now)
 }
 
 // appendSample appends up to n servers of the list that are not in dst nor in backoff; recently slow ones come
@@ -32,7 +32,9 @@
 	if len(list) == 0 || n <= 0 {
 		return dst
 	}
-	usable := func(s *Server) bool { return !slices.Contains(dst, s) && !s.State.InBackoff(now) }
+	usable := func(s *Server) bool {
+		return !slices.Contains(dst, s) && !s.State.InBackoff(now) && s.State.Available(now)
+	}
 	fast := func(s *Server) bool { return usable(s) && !s.State.RecentlySlow(now) }
 	first := len(dst)
 	for range sampleTries * n {
@@ -55,10 +57,10 @@
 }
 
 // appendBackedOff appends up to n servers regardless of backoff. A check costs less than a rejected call.
-func appendBackedOff(dst []*Server, p *Pool, n int) []*Server {
+func appendBackedOff(dst []*Server, p *Pool, n int, now time.Time) []*Server {
 	for _, list := range [][]*Server{p.Local, p.Remote} {
 		for _, s := range list {
-			if n > 0 && !slices.Contains(dst, s) {
+			if n > 0 && !slices.Contains(dst, s) && s.State.Available(now) {
 				dst = append(dst, s)
 				n--
 			}
--- a/core/spread/serverstate.go
+++ b/core/spread/serverstate.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync/atomic"
 	"time"
+
+	"goldcreststand.example/core/notice"
 )
 
 const (
@@ -43,6 +45,8 @@
 	slowUntil atomic.Int64
 	// nextColdCall is the earliest time, since start, of the next call while the server is cold.
 	nextColdCall atomic.Int64
+	// availability holds what the server said about leaving and pauses, with times since start.
+	availability notice.Availability
 }
 
 // NewServerState returns a state without observations.
@@ -53,6 +57,20 @@
 // InBackoff reports whether the server is in backoff. It then gets calls only if no other server is available.
 func (s *ServerState) InBackoff(now time.Time) bool { return s.sinceStart(now) < s.backoffUntil.Load() }
 
+// RecordNotice records what the server said about its availability.
+func (s *ServerState) RecordNotice(now time.Time, n notice.Notice) {
+	s.availability.Record(now.Sub(s.start), n)
+}
+
+// Available reports whether the server may receive calls and checks. Unlike a backoff, which ends early if there is no
+// other server, this is the server's own wish.
+func (s *ServerState) Available(now time.Time) bool {
+	return s.availability.Available(now.Sub(s.start))
+}
+
+// Leaving reports whether the server has said that it is leaving.
+func (s *ServerState) Leaving() bool { return s.availability.Leaving() }
+
 // RecordNoReply records a check or a dial without a reply and starts a backoff.
 func (s *ServerState) RecordNoReply(now time.Time) {
 	n := min(s.missedChecks.Add(1), 8)
--- a/core/spread/snapshot.go
+++ b/core/spread/snapshot.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/notice"
 	"goldcreststand.example/core/retry"
 	"goldcreststand.example/core/ring"
 	"goldcreststand.example/core/rules"
@@ -75,6 +76,18 @@
 // Size returns the number of servers.
 func (p *Pool) Size() int { return len(p.Local) + len(p.Remote) }
 
+// Unavailable reports whether all servers of the pool are leaving or have asked for a pause, and after which time the
+// first pause ends.
+func (p *Pool) Unavailable(now time.Time) (after time.Duration, unavailable bool) {
+	var sum notice.Summary
+	for _, list := range [][]*Server{p.Local, p.Remote} {
+		for _, s := range list {
+			sum.Add(&s.State.availability, now.Sub(s.State.start))
+		}
+	}
+	return sum.Unavailable()
+}
+
 // Add adds a server.
 func (p *Pool) Add(s *Server) {
 	if s.Local {
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/notice"
 	"goldcreststand.example/core/spread"
 )
 
@@ -126,3 +127,22 @@
 	require.Greater(t, m.FailureScore(start), 5.0)
 	require.Less(t, m.FailureScore(start.Add(10*time.Second)), 0.1)
 }
+
+// Guards against servers that are chosen although they are leaving or have asked for a pause, also when no other server
+// is left.
+func TestSampleExcludesUnavailableServers(t *testing.T) {
+	p := pool(2, 2)
+	rng := rand.New(rand.NewPCG(1, 1))
+	_, unavailable := p.Unavailable(start)
+	require.False(t, unavailable)
+	p.Local[0].State.RecordNotice(start, notice.Notice{Leaving: true})
+	p.Local[1].State.RecordNotice(start, notice.Notice{Pause: time.Second})
+	p.Remote[0].State.RecordNotice(start, notice.Notice{Pause: 2 * time.Second})
+	require.Equal(t, []*spread.Server{p.Remote[1]}, p.Sample(nil, 4, 4, start, rng))
+	p.Remote[1].State.RecordNotice(start, notice.Notice{Pause: 3 * time.Second})
+	require.Empty(t, p.Sample(nil, 4, 4, start, rng))
+	after, unavailable := p.Unavailable(start)
+	require.True(t, unavailable)
+	require.Equal(t, time.Second, after)
+	require.Equal(t, []*spread.Server{p.Local[1]}, p.Sample(nil, 4, 4, start.Add(time.Second), rng))
+}
--- a/goldcreststand/internal/edge/call.go
+++ b/goldcreststand/internal/edge/call.go
@@ -130,6 +130,9 @@
 		}
 		if p != nil {
 			c.h.conns.put(p.conn)
+		} else if _, unavailable := pool.Unavailable(c.h.clock.Now()); unavailable {
+			// Every server is leaving or has asked for a pause, so that waiting would not help.
+			return nil
 		} else {
 			// No local server replied.
 			n = max(n, localOnlyAttempts)
@@ -166,15 +169,23 @@
 	return nil
 }
 
-// pool returns the pool for the next try, and whether it is the canary pool. Later tries go to the stable pool if it
-// has servers.
+// pool returns the pool for the next try, and whether it is the canary pool.
 func (c *call) pool() (*spread.Pool, bool) {
-	if len(c.tries) > 1 && c.svc.Stable.Size() > 0 {
-		return &c.svc.Stable, false
+	if len(c.tries) > 1 {
+		p := c.retryPool()
+		return p, p == &c.svc.Canary
 	}
 	return c.svc.PickPool(c.route.Name, c.h.rng())
 }
 
+// retryPool returns the pool for tries after the first: the stable pool if it has servers.
+func (c *call) retryPool() *spread.Pool {
+	if c.svc.Stable.Size() > 0 {
+		return &c.svc.Stable
+	}
+	return &c.svc.Canary
+}
+
 // triedServers returns the servers of the earlier tries.
 func (c *call) triedServers() []*spread.Server {
 	out := make([]*spread.Server, 0, len(c.tries))
@@ -212,6 +223,10 @@
 	resp, wrote, err := cn.roundTrip(c.h.dialect, req)
 	cn.unusable = !stop() || cn.unusable
 	t.resp, t.err = resp, err
+	// A misdirected call was answered by another server.
+	if resp != nil && resp.status != http.StatusMisdirectedRequest {
+		c.h.recordNotice(t.server, resp.notice, c.h.clock.Now())
+	}
 	if resp == nil || resp.rest == nil {
 		c.h.conns.put(cn)
 		return wrote
--- a/goldcreststand/internal/edge/cause_enumer.go
+++ b/goldcreststand/internal/edge/cause_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _causeName = "noneinvalidstartingnoroutetoolargeslowbodynoservercrowdedshedtimeoutbrokenfailedgone"
+const _causeName = "noneinvalidstartingnoroutetoolargeslowbodynoservercrowdedshedpausedtimeoutbrokenfailedgone"
 
-var _causeIndex = [...]uint8{0, 4, 11, 19, 26, 34, 42, 50, 57, 61, 68, 74, 80, 84}
+var _causeIndex = [...]uint8{0, 4, 11, 19, 26, 34, 42, 50, 57, 61, 67, 74, 80, 86, 90}
 
-const _causeLowerName = "noneinvalidstartingnoroutetoolargeslowbodynoservercrowdedshedtimeoutbrokenfailedgone"
+const _causeLowerName = "noneinvalidstartingnoroutetoolargeslowbodynoservercrowdedshedpausedtimeoutbrokenfailedgone"
 
 func (i cause) String() string {
 	if i < 0 || i >= cause(len(_causeIndex)-1) {
@@ -33,13 +33,14 @@
 	_ = x[causeNoServer-(6)]
 	_ = x[causeSaturated-(7)]
 	_ = x[causeShed-(8)]
-	_ = x[causeTimeout-(9)]
-	_ = x[causeBadResponse-(10)]
-	_ = x[causeServerError-(11)]
-	_ = x[causeCallerDisconnected-(12)]
+	_ = x[causePaused-(9)]
+	_ = x[causeTimeout-(10)]
+	_ = x[causeBadResponse-(11)]
+	_ = x[causeServerError-(12)]
+	_ = x[causeCallerDisconnected-(13)]
 }
 
-var _causeValues = []cause{causeNone, causeInvalidRequest, causeNotReady, causeNoRoute, causeTooLarge, causeSlowBody, causeNoServer, causeSaturated, causeShed, causeTimeout, causeBadResponse, causeServerError, causeCallerDisconnected}
+var _causeValues = []cause{causeNone, causeInvalidRequest, causeNotReady, causeNoRoute, causeTooLarge, causeSlowBody, causeNoServer, causeSaturated, causeShed, causePaused, causeTimeout, causeBadResponse, causeServerError, causeCallerDisconnected}
 
 var _causeNameToValueMap = map[string]cause{
 	_causeName[0:4]:   causeNone,
@@ -51,10 +52,11 @@
 	_causeName[42:50]: causeNoServer,
 	_causeName[50:57]: causeSaturated,
 	_causeName[57:61]: causeShed,
-	_causeName[61:68]: causeTimeout,
-	_causeName[68:74]: causeBadResponse,
-	_causeName[74:80]: causeServerError,
-	_causeName[80:84]: causeCallerDisconnected,
+	_causeName[61:67]: causePaused,
+	_causeName[67:74]: causeTimeout,
+	_causeName[74:80]: causeBadResponse,
+	_causeName[80:86]: causeServerError,
+	_causeName[86:90]: causeCallerDisconnected,
 }
 
 var _causeLowerNameToValueMap = map[string]cause{
@@ -67,10 +69,11 @@
 	_causeLowerName[42:50]: causeNoServer,
 	_causeLowerName[50:57]: causeSaturated,
 	_causeLowerName[57:61]: causeShed,
-	_causeLowerName[61:68]: causeTimeout,
-	_causeLowerName[68:74]: causeBadResponse,
-	_causeLowerName[74:80]: causeServerError,
-	_causeLowerName[80:84]: causeCallerDisconnected,
+	_causeLowerName[61:67]: causePaused,
+	_causeLowerName[67:74]: causeTimeout,
+	_causeLowerName[74:80]: causeBadResponse,
+	_causeLowerName[80:86]: causeServerError,
+	_causeLowerName[86:90]: causeCallerDisconnected,
 }
 
 var _causeNames = []string{
@@ -83,10 +86,11 @@
 	_causeName[42:50],
 	_causeName[50:57],
 	_causeName[57:61],
-	_causeName[61:68],
-	_causeName[68:74],
+	_causeName[61:67],
+	_causeName[67:74],
 	_causeName[74:80],
-	_causeName[80:84],
+	_causeName[80:86],
+	_causeName[86:90],
 }
 
 // causeString retrieves an enum value from the enum constants string name.
--- a/goldcreststand/internal/edge/check.go
+++ b/goldcreststand/internal/edge/check.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"goldcreststand.example/core/notice"
 	"goldcreststand.example/core/spread"
 )
 
@@ -180,11 +183,16 @@
 	if r.hasLoad {
 		st.RecordReply(now, r.load)
 	}
-	switch {
-	case r.server != "" && r.server != c.server.ID:
+	if r.server != "" && r.server != c.server.ID {
 		h.conns.drop(c.conn)
 		st.BackOff(now, misdirectedBackoff)
 		return nil
+	}
+	h.recordNotice(c.server, r.notice, now)
+	switch {
+	case !st.Available(now):
+		h.conns.put(c.conn)
+		return nil
 	case r.status != http.StatusOK:
 		h.conns.put(c.conn)
 		st.BackOff(now, drainingBackoff)
@@ -203,6 +211,22 @@
 	return &pick{server: c.server, conn: c.conn, load: r.load, cost: c.server.Cost(r.load, now)}
 }
 
+// recordNotice records and logs what a server said about its availability.
+func (h *Handler) recordNotice(s *spread.Server, n notice.Notice, now time.Time) {
+	if n == (notice.Notice{}) {
+		return
+	}
+	before := s.State.Available(now)
+	s.State.RecordNotice(now, n)
+	if !before {
+		return
+	}
+	h.metrics.Notices.Add(1)
+	h.log.Failure("server asked for no calls", logrus.Fields{
+		"server": s.ID, "version": s.Version, "leaving": n.Leaving, "pause": n.Pause.Milliseconds(),
+	})
+}
+
 // dial opens a connection and sends it to out, or nil on failure.
 func (h *Handler) dial(s *spread.Server, out chan<- *conn) {
 	c, err := h.conns.dial(s)
--- a/goldcreststand/internal/edge/conn.go
+++ b/goldcreststand/internal/edge/conn.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/notice"
 	"goldcreststand.example/core/spread"
 )
 
@@ -52,6 +53,7 @@
 	id ident.RequestID
 	// notExecuted reports that the server did not execute the request, signed that the response has its signature.
 	notExecuted, signed bool
+	notice              notice.Notice
 }
 
 // checkReply is a server's reply to a status check.
@@ -61,6 +63,7 @@
 	// hasLoad reports that the reply has a load report.
 	hasLoad bool
 	load    spread.LoadReport
+	notice  notice.Notice
 }
 
 // conn is a connection to a backend server. One goroutine uses it at a time.
@@ -104,7 +107,9 @@
 		return checkReply{}, errStale
 	}
 	c.readKeepAlive(resp)
-	out := checkReply{status: resp.StatusCode, server: d.ServerID(resp.Header)}
+	out := checkReply{
+		status: resp.StatusCode, server: d.ServerID(resp.Header), notice: d.Notice(resp.StatusCode, resp.Header),
+	}
 	out.load, out.hasLoad = d.Load(resp.Header)
 	return out, nil
 }
@@ -207,6 +212,7 @@
 	out := &response{
 		status: resp.StatusCode, header: resp.Header, id: d.RequestID(resp.Header),
 		notExecuted: d.NotExecuted(resp.StatusCode, resp.Header), signed: d.Signed(resp.Header),
+		notice: d.Notice(resp.StatusCode, resp.Header),
 	}
 	var err error
 	switch n := resp.ContentLength; {
--- a/goldcreststand/internal/edge/connsets.go
+++ b/goldcreststand/internal/edge/connsets.go
@@ -71,9 +71,9 @@
 	return nil
 }
 
-// put returns a connection to the idle ones, or closes it if it cannot be reused.
+// put returns a connection to the idle ones, or closes it if it cannot be reused or its server is leaving.
 func (cs *connSets) put(c *conn) {
-	if c.unusable {
+	if c.unusable || c.server.State.Leaving() {
 		cs.drop(c)
 		return
 	}
@@ -120,14 +120,14 @@
 	return newConn(s, nc), nil
 }
 
-// closeIdle closes the connections whose idle timeout has expired.
+// closeIdle closes the connections whose idle timeout has expired, and those to servers that are leaving.
 func (cs *connSets) closeIdle(now time.Time) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for id, set := range cs.sets {
 		keep := set.idle[:0]
 		for _, c := range set.idle {
-			if now.Before(c.expires) {
+			if now.Before(c.expires) && !c.server.State.Leaving() {
 				keep = append(keep, c)
 				continue
 			}
--- a/goldcreststand/internal/edge/dialect.go
+++ b/goldcreststand/internal/edge/dialect.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/notice"
 	"goldcreststand.example/core/spread"
 )
 
@@ -25,6 +26,8 @@
 	Signed(h http.Header) bool
 	// Load returns the load report of a response, and whether there is one.
 	Load(h http.Header) (spread.LoadReport, bool)
+	// Notice returns what a response says about the availability of its server.
+	Notice(status int, h http.Header) notice.Notice
 	// Clean removes the internal fields from a response.
 	Clean(h http.Header)
 }
--- a/goldcreststand/internal/edge/handler.go
+++ b/goldcreststand/internal/edge/handler.go
@@ -283,6 +283,7 @@
 
 // rejection returns the rejection of a call without a response.
 func (c *call) rejection() *rejection {
+	pause, paused := c.retryPool().Unavailable(c.h.clock.Now())
 	switch {
 	case c.cause == retry.CauseGone || c.callerDisconnected():
 		return &rejection{cause: causeCallerDisconnected}
@@ -290,6 +291,8 @@
 		return &rejection{status: http.StatusGatewayTimeout, cause: causeTimeout}
 	case c.maybeExecuted:
 		return &rejection{status: http.StatusBadGateway, cause: causeBadResponse}
+	case paused:
+		return &rejection{status: http.StatusServiceUnavailable, cause: causePaused, retryAfter: max(retryAfter, pause)}
 	case c.cause == retry.CauseShed:
 		return &rejection{status: http.StatusServiceUnavailable, cause: causeShed, retryAfter: retryAfter}
 	case c.saturated:
--- a/goldcreststand/internal/edge/harness_test.go
+++ b/goldcreststand/internal/edge/harness_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/notice"
 	"goldcreststand.example/core/retry"
 	"goldcreststand.example/core/route"
 	"goldcreststand.example/core/rules"
@@ -37,6 +39,7 @@
 	fieldServer      = "Server-Id"
 	fieldLoad        = "Load"
 	fieldCold        = "Cold-Ms"
+	fieldLeaving     = "Leaving"
 )
 
 // dialect uses the fields above. The load is running, waiting, slots and slowness in percent.
@@ -76,7 +79,18 @@
 	return r, n == 4
 }
 
-func (dialect) Clean(h http.Header) { h.Del(fieldLoad) }
+func (dialect) Notice(status int, h http.Header) notice.Notice {
+	n := notice.Notice{Leaving: h.Get(fieldLeaving) != ""}
+	if status == http.StatusServiceUnavailable {
+		n.Pause = notice.ParseRetryAfter(h)
+	}
+	return n
+}
+
+func (dialect) Clean(h http.Header) {
+	h.Del(fieldLoad)
+	h.Del(fieldLeaving)
+}
 
 // reply writes the response to a call, and reports whether the connection stays open.
 type reply func(w io.Writer, r *http.Request, body []byte) bool
@@ -88,6 +102,9 @@
 	// load and cold are the fields of the reply to a status check. A silent backend does not reply to checks.
 	load, cold string
 	silent     bool
+	// fields are further fields of that reply, and checks counts the status checks.
+	fields string
+	checks atomic.Int32
 
 	mu      sync.Mutex
 	replies []reply
@@ -133,12 +150,15 @@
 			}
 			return
 		}
+		if r.URL.Path == "/health" {
+			b.checks.Add(1)
+		}
 		if r.URL.Path == "/health" && b.silent {
 			continue
 		}
 		if r.URL.Path == "/health" {
-			_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
-				fieldServer, b.id, fieldLoad, b.load, fieldCold, b.cold)
+			_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n",
+				fieldServer, b.id, fieldLoad, b.load, fieldCold, b.cold, b.fields)
 			continue
 		}
 		body, _ := io.ReadAll(r.Body)
--- a/goldcreststand/internal/edge/metrics.go
+++ b/goldcreststand/internal/edge/metrics.go
@@ -17,6 +17,8 @@
 	Dials, DialFailures expvar.Int
 	// Retries counts the tries after the first of each call.
 	Retries expvar.Int
+	// Notices counts the servers that became unavailable because they are leaving or asked for a pause.
+	Notices expvar.Int
 }
 
 // NewMetrics returns metrics that are not published yet.
@@ -30,6 +32,7 @@
 	to.Set("dials", &m.Dials)
 	to.Set("dialfailures", &m.DialFailures)
 	to.Set("resends", &m.Retries)
+	to.Set("notices", &m.Notices)
 }
 
 // recordCall counts a completed call.
--- a/goldcreststand/internal/edge/rejection.go
+++ b/goldcreststand/internal/edge/rejection.go
@@ -25,6 +25,8 @@
 	causeSaturated // crowded
 	// causeShed means that the servers rejected the call without executing it.
 	causeShed
+	// causePaused means that every server is leaving or has asked for a pause.
+	causePaused
 	// causeTimeout means that the deadline passed while a server executed the call.
 	causeTimeout
 	// causeBadResponse means that the connection broke or that the response was invalid.
