proxy, health: servers that leave or pause, on the product's own front end

Cause: the own front end knew `Connection: close` as the only word of a server about itself, and took Retry-After for nothing: a server that sheds was called again by the next request.

Change: the same decision (core/notice) with the own names, `Leaving: ?1` and the standard Retry-After. A call for which every server is unavailable is rejected at once, a queued one too, because no release would wake it. fakebackend has the faults `leaving` and `pause`, and `make faults` plays both.

Ruled out: passing it to control in the outcomes, as for draining; it takes 20 ms, and the server would get calls meanwhile.

--- a/core/health/server.go
+++ b/core/health/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/notice"
 	"goldcreststand.example/core/roster"
 )
 
@@ -55,6 +56,9 @@
 
 	reportedSlots ident.Slots
 	reportedUntil time.Time
+
+	// availability holds what this incarnation of the server has said. Traffic goroutines write it.
+	availability *notice.Availability
 }
 
 // restartWarmup puts the server at the start of its warm-up.
--- a/core/health/serverstatus.go
+++ b/core/health/serverstatus.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/notice"
 )
 
 // ServerStatus is the status of a server for the traffic path and for control decisions.
@@ -22,6 +23,8 @@
 	// Owner is set when this instance is the owner of the server, since OwnerSince.
 	Owner      bool
 	OwnerSince time.Time
+	// Availability holds what the current incarnation of the server has said, or is nil if the server is not listed.
+	Availability *notice.Availability
 }
 
 // Status returns the status of a server. A server that is not listed has the limit 0.
@@ -33,7 +36,7 @@
 	v := ServerStatus{
 		State: s.state, Limit: t.limit(s, now), FewCalls: s.hasFewCalls(now),
 		LastCall: s.lastCall, LastProbe: s.lastProbe,
-		Owner: s.hasSlots && s.rank == 0, OwnerSince: s.ownerSince,
+		Owner: s.hasSlots && s.rank == 0, OwnerSince: s.ownerSince, Availability: s.availability,
 	}
 	v.ReadmissionDue = s.state == StateEjected && s.until.Sub(now) <= baseEjection/2
 	return v
--- a/core/health/tracker.go
+++ b/core/health/tracker.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/notice"
 	"goldcreststand.example/core/roster"
 )
 
@@ -72,13 +73,16 @@
 func (t *Tracker) updateServer(spec roster.Server, now time.Time) {
 	s, ok := t.servers[spec.ID]
 	if !ok {
-		s = &server{}
+		s = &server{availability: new(notice.Availability)}
 		t.servers[spec.ID] = s
 		s.restartWarmup(now)
 	}
 	restarted := ok && spec.Incarnation != s.spec.Incarnation
 	drainWithdrawn := s.drainingInList && !spec.Draining
 	s.spec, s.drainingInList = spec, spec.Draining
+	if restarted {
+		s.availability = new(notice.Availability)
+	}
 	if restarted || drainWithdrawn {
 		s.restartWarmup(now)
 		s.longMeanLatency = 0
--- a/core/health/tracker_test.go
+++ b/core/health/tracker_test.go
@@ -10,6 +10,7 @@
 
 	"goldcreststand.example/core/health"
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/notice"
 	"goldcreststand.example/core/roster"
 	"goldcreststand.example/core/route"
 )
@@ -306,3 +307,16 @@
 		last = s.now.Sub(from)
 	}
 }
+
+// Guards against a server that stays unavailable after its restart because an earlier incarnation was leaving.
+func TestAvailabilityEndsWithIncarnation(t *testing.T) {
+	tracker := health.New("svc", "i1", rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(1e6, 0)
+	list := func(n ident.Incarnation) *notice.Availability {
+		tracker.SetServerList(&roster.ServerList{Servers: []roster.Server{{ID: "s1", Slots: 4, Incarnation: n}}}, now)
+		return tracker.Status("s1", now).Availability
+	}
+	list(1).Record(0, notice.Notice{Leaving: true})
+	require.False(t, list(1).Available(0))
+	require.True(t, list(2).Available(0))
+}
--- a/core/limit/verdict.go
+++ b/core/limit/verdict.go
@@ -14,6 +14,8 @@
 	VerdictTenant
 	// VerdictLate rejects the call because it could not be completed before its deadline.
 	VerdictLate
+	// VerdictPaused rejects the call because every server is leaving or has asked for a pause.
+	VerdictPaused
 )
 
 //go:generate ../../bin/enumer -type=Verdict -trimprefix=Verdict -transform=lower -text -output=verdict_enumer.go
--- a/core/limit/verdict_enumer.go
+++ b/core/limit/verdict_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _VerdictName = "waitfulltenantlate"
+const _VerdictName = "waitfulltenantlatepaused"
 
-var _VerdictIndex = [...]uint8{0, 4, 8, 14, 18}
+var _VerdictIndex = [...]uint8{0, 4, 8, 14, 18, 24}
 
-const _VerdictLowerName = "waitfulltenantlate"
+const _VerdictLowerName = "waitfulltenantlatepaused"
 
 func (i Verdict) String() string {
 	if i < 0 || i >= Verdict(len(_VerdictIndex)-1) {
@@ -28,15 +28,17 @@
 	_ = x[VerdictFull-(1)]
 	_ = x[VerdictTenant-(2)]
 	_ = x[VerdictLate-(3)]
+	_ = x[VerdictPaused-(4)]
 }
 
-var _VerdictValues = []Verdict{VerdictWait, VerdictFull, VerdictTenant, VerdictLate}
+var _VerdictValues = []Verdict{VerdictWait, VerdictFull, VerdictTenant, VerdictLate, VerdictPaused}
 
 var _VerdictNameToValueMap = map[string]Verdict{
 	_VerdictName[0:4]:   VerdictWait,
 	_VerdictName[4:8]:   VerdictFull,
 	_VerdictName[8:14]:  VerdictTenant,
 	_VerdictName[14:18]: VerdictLate,
+	_VerdictName[18:24]: VerdictPaused,
 }
 
 var _VerdictLowerNameToValueMap = map[string]Verdict{
@@ -44,6 +46,7 @@
 	_VerdictLowerName[4:8]:   VerdictFull,
 	_VerdictLowerName[8:14]:  VerdictTenant,
 	_VerdictLowerName[14:18]: VerdictLate,
+	_VerdictLowerName[18:24]: VerdictPaused,
 }
 
 var _VerdictNames = []string{
@@ -51,6 +54,7 @@
 	_VerdictName[4:8],
 	_VerdictName[8:14],
 	_VerdictName[14:18],
+	_VerdictName[18:24],
 }
 
 // VerdictString retrieves an enum value from the enum constants string name.
--- a/core/route/leastcost.go
+++ b/core/route/leastcost.go
@@ -20,7 +20,7 @@
 	var best *Server
 	var bestCost float64
 	for _, s := range servers {
-		if !s.available() {
+		if !s.available(now) {
 			continue
 		}
 		if c := s.cost(now, defaultLatency) / float64(s.Weight); best == nil || c < bestCost {
--- a/core/route/leastinflight.go
+++ b/core/route/leastinflight.go
@@ -16,12 +16,12 @@
 	return chooseAndAcquire(leastInflight, servers, now, rng)
 }
 
-func leastInflight(servers []*Server, _ time.Duration, rng *rand.Rand) *Server {
+func leastInflight(servers []*Server, now time.Duration, rng *rand.Rand) *Server {
 	var best *Server
 	var bestScore float64
 	ties := 0
 	for _, s := range servers {
-		if !s.available() {
+		if !s.available(now) {
 			continue
 		}
 		score := float64(s.Load.Inflight()+1) / float64(s.Weight)
--- a/core/route/proportional.go
+++ b/core/route/proportional.go
@@ -34,7 +34,7 @@
 	defaultLatency := meanLatency(servers, now)
 	total := 0.0
 	for i, s := range servers {
-		if s.available() {
+		if s.available(now) {
 			c := defaultLatency / s.cost(now, defaultLatency)
 			c *= c * c
 			weights[i] = float64(s.Weight) * c * c
--- a/core/route/random.go
+++ b/core/route/random.go
@@ -15,10 +15,10 @@
 	return chooseAndAcquire(random, servers, now, rng)
 }
 
-func random(servers []*Server, _ time.Duration, rng *rand.Rand) *Server {
+func random(servers []*Server, now time.Duration, rng *rand.Rand) *Server {
 	var total uint64
 	for _, s := range servers {
-		if s.available() {
+		if s.available(now) {
 			total += uint64(s.Weight)
 		}
 	}
@@ -28,7 +28,7 @@
 	at := rng.Uint64N(total)
 	var last *Server
 	for _, s := range servers {
-		if !s.available() {
+		if !s.available(now) {
 			continue
 		}
 		last = s
--- a/core/route/roundrobin.go
+++ b/core/route/roundrobin.go
@@ -18,7 +18,7 @@
 	n := uint64(len(servers))
 	for range n {
 		s := servers[r.next.Add(1)%n]
-		if s.available() && s.Load.Acquire(s.MaxInflight) {
+		if s.available(now) && s.Load.Acquire(s.MaxInflight) {
 			s.Load.recordStart(now)
 			return s
 		}
--- a/core/route/snapshot.go
+++ b/core/route/snapshot.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/notice"
 	"goldcreststand.example/core/table"
 )
 
@@ -42,6 +43,19 @@
 	return n
 }
 
+// Unavailable reports whether all servers are leaving or have asked for a pause, and after which time the first pause
+// ends.
+func (s *Service) Unavailable(now time.Duration) (after time.Duration, unavailable bool) {
+	var sum notice.Summary
+	for _, srv := range s.Servers {
+		if srv.Availability == nil {
+			return 0, false
+		}
+		sum.Add(srv.Availability, now)
+	}
+	return sum.Unavailable()
+}
+
 // Server is one backend server with the limits that apply to this instance.
 type Server struct {
 	ID      ident.ServerID
@@ -55,6 +69,8 @@
 	// MaxConns is the maximum number of connections from this instance to the server.
 	MaxConns int
 	Load     *ServerLoad
+	// Availability holds what the server has said about leaving and pauses, or is nil if nothing is recorded.
+	Availability *notice.Availability
 }
 
 // ServerWeight returns the weight of a server relative to the other servers of its version: the product of the
--- a/demo/faults.sh
+++ b/demo/faults.sh
@@ -112,6 +112,23 @@
   for n in 1 2 3 4 5 6 7 8; do backend_faults inventory-v1-$n '{}'; done
 }
 
+# leaving_and_pausing_servers checks that calls move away from servers that leave or ask for a pause. Servers that leave
+# do not come back before they start again.
+leaving_and_pausing_servers() {
+  local before
+  backend_faults inventory-v1-5 '{"shed":1000,"pause":"3s"}'
+  backend_faults inventory-v1-9 '{"leaving":true}'
+  sleep 2
+  before=$(executed inventory-v1-9)
+  sleep 3
+  [ "$(executed inventory-v1-9)" = "$before" ] || fail_check "a server that is leaving got calls"
+  for n in 5 9; do backend_faults inventory-v1-$n '{}'; done
+}
+
+executed() { # server
+  curl -sf $host:19900/tally/"$1" | sed 's/.*"executed":\([0-9]*\).*/\1/'
+}
+
 silent_connections() {
   curl -sf -X PUT -H 'Content-Type: application/json' -d '{"silent":true}' $host:19900/faults
   sleep 1
@@ -144,6 +161,8 @@
 section "eight of 18 backend servers faulty"
 # Broken connections are allowed here: a truncated response of a server closes the connection to the caller.
 run_under_load 14 wrong faulty_servers
+section "one backend server leaves, one asks for pauses"
+run_under_load 10 wrong,broken leaving_and_pausing_servers
 section "all open connections to backend servers silent"
 run_under_load 10 wrong,broken silent_connections
 section "rollout of a faulty version: 30% of its calls fail"
--- a/fakebackend/internal/fleet/faults.go
+++ b/fakebackend/internal/fleet/faults.go
@@ -11,8 +11,8 @@
 type faults struct {
 	slow                                       float64
 	fail, shed, close, truncate, late, crossed ident.Share
-	drain                                      bool
-	lag                                        time.Duration
+	drain, leaving                             bool
+	lag, pause                                 time.Duration
 	claim                                      *ident.Slots
 	activeFrom                                 time.Time
 	above                                      ident.Slots
@@ -24,7 +24,7 @@
 	return &faults{
 		slow: valueOrZero(m.Slow), fail: valueOrZero(m.Fail), shed: valueOrZero(m.Shed), close: valueOrZero(m.Close),
 		truncate: valueOrZero(m.Truncate), late: valueOrZero(m.Late), crossed: valueOrZero(m.Crossed),
-		drain: valueOrZero(m.Drain), lag: valueOrZero(m.Lag).Std(), claim: m.Claim,
+		drain: valueOrZero(m.Drain), leaving: valueOrZero(m.Leaving), pause: valueOrZero(m.Pause).Std(), lag: valueOrZero(m.Lag).Std(), claim: m.Claim,
 		activeFrom: now.Add(valueOrZero(m.After).Std()), above: valueOrZero(m.Above), route: valueOrZero(m.Route),
 	}
 }
--- a/fakebackend/internal/fleet/fleet_test.go
+++ b/fakebackend/internal/fleet/fleet_test.go
@@ -69,6 +69,8 @@
 		{name: "fail later", faults: `{"fail":1000,"after":"1h"}`, status: http.StatusOK, executed: 1},
 		{name: "fail under load", faults: `{"fail":1000,"above":1}`, status: http.StatusOK, executed: 1},
 		{name: "drain", faults: `{"drain":true}`, status: http.StatusOK, executed: 1},
+		{name: "leaving", faults: `{"leaving":true}`, status: http.StatusOK, header: leavingHeader, executed: 1},
+		{name: "pause", faults: `{"shed":1000,"pause":"250ms"}`, status: http.StatusServiceUnavailable, header: "Retry-After"},
 		{name: "claim", faults: `{"claim":7}`, status: http.StatusOK, header: loadHeader, executed: 1},
 		{name: "close", faults: `{"close":1000}`, broken: true, executed: 1},
 		{name: "truncate", faults: `{"truncate":1000}`, broken: true, executed: 1},
--- a/fakebackend/internal/fleet/server.go
+++ b/fakebackend/internal/fleet/server.go
@@ -20,6 +20,7 @@
 	loadHeader     = "Load"
 	executedHeader = "Executed"
 	timeoutHeader  = "Request-Timeout"
+	leavingHeader  = "Leaving"
 	// requestIDHeader identifies a request, to count its executions.
 	requestIDHeader = "Request-Id"
 )
@@ -54,12 +55,23 @@
 // handler returns the HTTP interface of the server.
 func (s *Server) handler() http.Handler {
 	e := echo.New()
+	e.Use(s.announceLeaving)
 	e.GET("/health", s.health)
 	e.GET("/load", s.load)
 	e.Any("/*", s.handleCall)
 	return e
 }
 
+// announceLeaving adds to each response that the server is leaving, while it is.
+func (s *Server) announceLeaving(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if s.faults.Load().leaving {
+			c.Response().Header().Set(leavingHeader, "?1")
+		}
+		return next(c)
+	}
+}
+
 // setFaults replaces the faults.
 func (s *Server) setFaults(m *wire.Faults) {
 	if valueOrZero(m.Cold) {
@@ -109,6 +121,9 @@
 	}
 	if faultOccurs(f.shed) {
 		c.Response().Header().Set(executedHeader, "?0")
+		if f.pause > 0 {
+			c.Response().Header().Set(echo.HeaderRetryAfter, strconv.FormatFloat(f.pause.Seconds(), 'f', 3, 64))
+		}
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
 	n, ok := s.capacity.acquire()
--- a/goldcreststand/internal/ctrl/backends.go
+++ b/goldcreststand/internal/ctrl/backends.go
@@ -71,10 +71,12 @@
 	return limit.Holders(sh.plan, sh.serving, id)
 }
 
-// applyHealthLimit lowers the server's share to the limit of its health status and reports whether the server
-// accepts calls.
+// applyHealthLimit lowers the server's share to the limit of its health status, sets its availability and reports
+// whether the server accepts calls.
 func (b *backends) applyHealthLimit(srv *route.Server, now time.Time) bool {
-	srv.MaxInflight = min(srv.MaxInflight, b.tracker.Status(srv.ID, now).Limit)
+	status := b.tracker.Status(srv.ID, now)
+	srv.MaxInflight = min(srv.MaxInflight, status.Limit)
+	srv.Availability = status.Availability
 	return srv.MaxInflight > 0
 }
 
--- a/goldcreststand/internal/proxy/admission.go
+++ b/goldcreststand/internal/proxy/admission.go
@@ -17,7 +17,11 @@
 const maxQueuedCalls = 1024
 
 // RejectError reports why a call got no slot. The call was not executed.
-type RejectError struct{ Verdict limit.Verdict }
+type RejectError struct {
+	Verdict limit.Verdict
+	// RetryAfter is the time after which a server takes calls again, or 0 if it is not known.
+	RetryAfter time.Duration
+}
 
 var _ error = (*RejectError)(nil)
 
@@ -62,7 +66,7 @@
 func (a *Admission) Acquire(ctx context.Context, svc *route.Service, c limit.Call) (*Slot, error) {
 	v := svc.PickVersion(rand.New(globalSource{}))
 	if v == nil {
-		return nil, &RejectError{limit.VerdictFull}
+		return nil, &RejectError{Verdict: limit.VerdictFull}
 	}
 	q := a.queueFor(svc.Name)
 	if q.length.Load() == 0 {
@@ -70,6 +74,9 @@
 			return s, nil
 		}
 	}
+	if after, unavailable := svc.Unavailable(a.elapsed.Elapsed()); unavailable {
+		return nil, &RejectError{Verdict: limit.VerdictPaused, RetryAfter: after}
+	}
 	return q.wait(ctx, svc, v, c)
 }
 
@@ -151,11 +158,14 @@
 	if s, verdict := q.push(svc, v, e); s != nil {
 		return s, nil
 	} else if verdict != limit.VerdictWait {
-		return nil, &RejectError{verdict}
+		return nil, &RejectError{Verdict: verdict}
 	}
 	select {
 	case s := <-e.Value.result:
-		return acquireResult(s)
+		if s == nil {
+			return nil, q.rejection()
+		}
+		return s, nil
 	case <-ctx.Done():
 	}
 	if q.remove(e) {
@@ -167,11 +177,14 @@
 	return nil, ctx.Err()
 }
 
-func acquireResult(s *Slot) (*Slot, error) {
-	if s == nil {
-		return nil, &RejectError{limit.VerdictLate}
+// rejection returns the error of a queued call that gets no slot.
+func (q *serviceQueue) rejection() *RejectError {
+	if svc, ok := q.admission.snapshots.Load().Services[q.name]; ok {
+		if after, unavailable := svc.Unavailable(q.admission.elapsed.Elapsed()); unavailable {
+			return &RejectError{Verdict: limit.VerdictPaused, RetryAfter: after}
+		}
 	}
-	return s, nil
+	return &RejectError{Verdict: limit.VerdictLate}
 }
 
 // push queues the call, or returns a slot when one has become free.
@@ -244,7 +257,10 @@
 		}
 		s := q.pick(svc, v)
 		if s == nil {
-			return
+			// No release would end the wait for servers that have all asked for a pause.
+			if _, unavailable := svc.Unavailable(q.admission.elapsed.Elapsed()); !unavailable {
+				return
+			}
 		}
 		q.calls.Start(e)
 		e.Value.result <- s
--- a/goldcreststand/internal/proxy/callerror.go
+++ b/goldcreststand/internal/proxy/callerror.go
@@ -1,7 +1,10 @@
 package proxy
 
 import (
+	"math"
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -29,6 +32,8 @@
 	maybeExecuted bool
 	// tenantLimited is set when the call's tenant reached its limit.
 	tenantLimited bool
+	// retryAfter is the time after which a server takes calls again, or 0 if it is not known.
+	retryAfter time.Duration
 }
 
 var _ error = (*callError)(nil)
@@ -46,7 +51,7 @@
 	if e.tenantLimited {
 		status = http.StatusTooManyRequests
 	}
-	writeRejected(w, status, proxyErrorType(e.cause))
+	writeRejected(w, status, proxyErrorType(e.cause), e.retryAfter)
 }
 
 func proxyErrorType(c retry.Cause) string {
@@ -64,9 +69,11 @@
 	}
 }
 
-// writeRejected writes a response that the call was rejected and not executed.
-func writeRejected(w http.ResponseWriter, status int, errorType string) {
-	w.Header().Set("Retry-After", "1")
+// writeRejected writes a response that the call was rejected and not executed. The caller may return after the given
+// time, which is rounded up to whole seconds.
+func writeRejected(w http.ResponseWriter, status int, errorType string, after time.Duration) {
+	seconds := max(1, int(math.Ceil(after.Seconds())))
+	w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	w.Header().Set(headerProxyStatus, "goldcreststand; error="+errorType+"; executed=no")
 	w.WriteHeader(status)
 }
@@ -89,6 +96,6 @@
 
 // respondRejected responds that the call was rejected and not executed.
 func respondRejected(c echo.Context, errorType string) error {
-	writeRejected(c.Response(), http.StatusServiceUnavailable, errorType)
+	writeRejected(c.Response(), http.StatusServiceUnavailable, errorType, 0)
 	return nil
 }
--- a/goldcreststand/internal/proxy/callparams.go
+++ b/goldcreststand/internal/proxy/callparams.go
@@ -28,6 +28,7 @@
 	headerHop      = "Forwarded-Hop"
 	headerExecuted = "Executed"
 	headerLoad     = "Load"
+	headerLeaving  = "Leaving"
 )
 
 // ErrInvalidCall is the class of errors for requests with invalid headers.
--- a/goldcreststand/internal/proxy/forwardedcall.go
+++ b/goldcreststand/internal/proxy/forwardedcall.go
@@ -118,7 +118,9 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &rejected):
-		return &callError{cause: retry.CauseNoServer, tenantLimited: rejected.Verdict == limit.VerdictTenant}
+		return &callError{
+			cause: retry.CauseNoServer, tenantLimited: rejected.Verdict == limit.VerdictTenant, retryAfter: rejected.RetryAfter,
+		}
 	case errors.Is(context.Cause(c.ctx), errCallerDisconnected):
 		return &callError{cause: retry.CauseGone}
 	default:
@@ -236,6 +238,7 @@
 	c.resp = t.resp
 	c.resp.Body = &responseBody{ReadCloser: c.resp.Body, t: t}
 	c.resp.Header.Del(headerExecuted)
+	c.resp.Header.Del(headerLeaving)
 	if !c.extraHop {
 		// A Proxy-Status header set by the server would be taken for one of this instance.
 		c.resp.Header.Del(headerProxyStatus)
--- a/goldcreststand/internal/proxy/harness_test.go
+++ b/goldcreststand/internal/proxy/harness_test.go
@@ -229,9 +229,12 @@
 	return result{status: resp.StatusCode, proxy: resp.Header.Get("Proxy-Status"), body: strings.TrimSpace(string(b)), header: resp.Header, err: err}
 }
 
-// Pick acquires a slot of the first server that has a free one.
-func (firstFreePicker) Pick(servers []*route.Server, _ time.Duration, _ *rand.Rand) *route.Server {
+// Pick acquires a slot of the first available server that has a free one.
+func (firstFreePicker) Pick(servers []*route.Server, now time.Duration, _ *rand.Rand) *route.Server {
 	for _, s := range servers {
+		if s.Availability != nil && !s.Availability.Available(now) {
+			continue
+		}
 		if s.Load.Acquire(s.MaxInflight) {
 			return s
 		}
--- a/goldcreststand/internal/proxy/targetselector.go
+++ b/goldcreststand/internal/proxy/targetselector.go
@@ -58,7 +58,7 @@
 func (s *serverSelector) first(ctx context.Context) (target, error) {
 	svc := s.service()
 	if svc == nil {
-		return target{}, &RejectError{limit.VerdictFull}
+		return target{}, &RejectError{Verdict: limit.VerdictFull}
 	}
 	slot, err := s.h.admission.Acquire(ctx, svc, limit.Call{
 		Tenant: s.params.tenant, Class: s.params.class, Deadline: s.h.elapsed.Elapsed() + s.timeout,
--- a/goldcreststand/internal/proxy/try.go
+++ b/goldcreststand/internal/proxy/try.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/notice"
 	"goldcreststand.example/core/retry"
 	"goldcreststand.example/core/route"
 )
@@ -113,6 +114,7 @@
 func (t *try) handleResponse(resp *http.Response) {
 	now, consumed := t.call.now(), t.call.body.consumed()
 	t.outcome.Latency = now.Sub(t.start)
+	t.recordNotice(resp)
 	t.outcome.Draining = resp.Close
 	t.outcome.Inflight, t.outcome.Slots = parseLoad(resp.Header.Get(headerLoad))
 	t.resp = resp
@@ -135,6 +137,18 @@
 	}
 }
 
+// recordNotice records what the response says about the availability of its server.
+func (t *try) recordNotice(resp *http.Response) {
+	if t.server.Availability == nil {
+		return
+	}
+	n := notice.Notice{Leaving: resp.Header.Get(headerLeaving) == "?1"}
+	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+		n.Pause = notice.ParseRetryAfter(resp.Header)
+	}
+	t.server.Availability.Record(t.call.h.elapsed.Elapsed(), n)
+}
+
 // postResponse posts a response, and discards it when the call has ended.
 func (t *try) postResponse(ev retry.Event) {
 	if !t.call.post(ev) {
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -243,6 +243,12 @@
 	// mille.
 	Late *ident.Share `json:"late,omitempty,omitzero"`
 
+	// Whether all responses of the server say that it is leaving.
+	Leaving *bool `json:"leaving,omitempty,omitzero"`
+
+	// Time for which a response that sheds load asks for no calls.
+	Pause *ident.Duration `json:"pause,omitempty,omitzero"`
+
 	// Route to which slow and fail are limited.
 	Route *ident.RouteName `json:"route,omitempty,omitzero"`
 
