--- a/core/ident/units.go
+++ b/core/ident/units.go
@@ -31,6 +31,23 @@
 	MegabitsPerSecond uint32
 )
 
+// MaxDuration is the longest duration that is read from a number.
+const MaxDuration = 365 * 24 * time.Hour
+
+// DurationOf returns n units of time, at least 0 and at most MaxDuration. It returns 0 if n is not a number. Without the
+// limits the result for large numbers would depend on the processor.
+func DurationOf(n float64, unit time.Duration) time.Duration {
+	d := n * float64(unit)
+	switch {
+	case d >= float64(MaxDuration):
+		return MaxDuration
+	case d > 0:
+		return time.Duration(d)
+	default:
+		return 0
+	}
+}
+
 // Duration is a time.Duration with a text form such as "250ms", for settings and messages.
 type Duration time.Duration
 
--- a/core/notice/retryafter.go
+++ b/core/notice/retryafter.go
@@ -1,11 +1,13 @@
 package notice
 
 import (
-	"math"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+
+	"goldcreststand.example/core/ident"
 )
 
 // ParseRetryAfter returns the pause that a response's Retry-After field asks for, at most MaxPause, or 0 if the field is
@@ -17,17 +19,10 @@
 		return 0
 	}
 	s, err := strconv.ParseFloat(v, 64)
-	switch {
-	case err != nil && !math.IsInf(s, 1):
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
 		return pauseUntil(v, h.Get("Date"))
-	case s >= MaxPause.Seconds():
-		return MaxPause
-	case s > 0:
-		return time.Duration(s * float64(time.Second))
-	default:
-		// Zero, a negative number or not a number.
-		return 0
 	}
+	return min(ident.DurationOf(s, time.Second), MaxPause)
 }
 
 // pauseUntil returns the time from the date of a response until the date at which its server may be called again.
--- a/goldcreststand/internal/hub/snapshot.go
+++ b/goldcreststand/internal/hub/snapshot.go
@@ -135,5 +135,5 @@
 	if !sends {
 		return 0
 	}
-	return time.Duration(coldSenders / (r.WarmupRate * coldRateShare) * float64(time.Second))
+	return ident.DurationOf(coldSenders/(r.WarmupRate*coldRateShare), time.Second)
 }
