guard: a panic ends the event, call or task, not the process

Cause: only the methods for other instances and the tries of the own front end recovered from panics. A reply or an object on which a decision or a decoder panics would end the process, and again after each restart.

Change: lib/guard turns a panic into an error with its stack.

Also: edge.TestLongResponseIsStreamed, which is not about time, failed once with 504 at its timeout of 400 ms while the machine compiled and played (load 18).

--- a/goldcreststand/internal/ctrl/loop.go
+++ b/goldcreststand/internal/ctrl/loop.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 
 	"goldcreststand.example/core/limit"
 	"goldcreststand.example/core/member"
 	"goldcreststand.example/core/route"
+	"goldcreststand.example/lib/guard"
 )
 
 // Times and sizes of the control loop.
@@ -131,10 +133,10 @@
 	if l.elapsed.Elapsed() > l.snapshot.Load().ValidUntil {
 		l.state.resume()
 	}
-	actions, urgent := ev.apply(l.state), isUrgent(ev)
+	actions, urgent := l.apply(ev), isUrgent(ev)
 	for range len(l.events) {
 		ev := <-l.events
-		actions = append(actions, ev.apply(l.state)...)
+		actions = append(actions, l.apply(ev)...)
 		urgent = urgent || isUrgent(ev)
 	}
 	if urgent {
@@ -145,6 +147,14 @@
 	}
 }
 
+// apply applies the event. One that cannot be applied must not end the process: it would do so again after each restart.
+func (l *Loop) apply(ev Event) (actions []Action) {
+	if err := guard.Call(func() { actions = ev.apply(l.state) }); err != nil {
+		logrus.WithError(err).Errorf("control: event %T failed", ev)
+	}
+	return actions
+}
+
 // isUrgent reports whether a snapshot is published immediately after the event. Measurements wait for the
 // next tick: traffic reports them up to fifty times per second, and every publication costs control time.
 func isUrgent(ev Event) bool {
--- a/goldcreststand/internal/edge/handler_test.go
+++ b/goldcreststand/internal/edge/handler_test.go
@@ -297,6 +297,7 @@
 		return false
 	}
 	f := newHarness(t, newBackend(t, "s1", respond(200, long), cut, respond(200, long)))
+	f.setTimeout(10 * time.Second)
 	status, body, _ := f.do(f.request(http.MethodGet, "/unsafe/", nil))
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, len(long), len(body))
--- a/goldcreststand/internal/feed/watcher.go
+++ b/goldcreststand/internal/feed/watcher.go
@@ -11,6 +11,7 @@
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/store"
 	"goldcreststand.example/goldcreststand/internal/hub"
+	"goldcreststand.example/lib/guard"
 )
 
 // watchWait is the maximum time for which a watch waits; the store allows 30 s. Long waits reduce the number of
@@ -74,7 +75,7 @@
 // was read is posted even if the switch was turned off meanwhile, because the source does not return it again.
 func (w *Watcher[T]) listAndWatch(onCtx, ctx context.Context) {
 	w.breaker.Wait(onCtx)
-	b, err := w.source.List(onCtx)
+	b, err := read(func() (store.Batch[T], error) { return w.source.List(onCtx) })
 	if err != nil {
 		w.reportFailure(onCtx, err)
 		return
@@ -88,7 +89,7 @@
 func (w *Watcher[T]) watch(onCtx, ctx context.Context, from ident.Revision) {
 	for onCtx.Err() == nil {
 		w.pause(onCtx, w.minInterval)
-		b, err := w.source.Watch(onCtx, from, watchWait)
+		b, err := read(func() (store.Batch[T], error) { return w.source.Watch(onCtx, from, watchWait) })
 		switch {
 		case store.ErrExpired.Has(err):
 			return
@@ -101,6 +102,14 @@
 	}
 }
 
+// read calls a method of the source. A reply on which the decoder panics counts as a failed call.
+func read[T any](call func() (store.Batch[T], error)) (b store.Batch[T], err error) {
+	if failure := guard.Call(func() { b, err = call() }); failure != nil {
+		return store.Batch[T]{}, store.ErrUnavailable.Wrap(failure)
+	}
+	return b, err
+}
+
 // postBatch posts the batch, after StoreAvailable if the store was unavailable.
 func (w *Watcher[T]) postBatch(ctx context.Context, b store.Batch[T]) {
 	w.breaker.RecordSuccess()
--- a/goldcreststand/internal/feed/watcher_test.go
+++ b/goldcreststand/internal/feed/watcher_test.go
@@ -14,10 +14,11 @@
 	"goldcreststand.example/goldcreststand/internal/hub"
 )
 
-// reply is what a source returns to one call.
+// reply is what a source returns to one call, or a panic.
 type reply struct {
-	batch store.Batch[ident.DomainName]
-	err   error
+	batch  store.Batch[ident.DomainName]
+	err    error
+	panics bool
 }
 
 // source returns the replies in order, then blocks until the context ends.
@@ -42,6 +43,9 @@
 	}
 	r := (*rs)[0]
 	*rs = (*rs)[1:]
+	if r.panics {
+		panic("reply cannot be decoded")
+	}
 	return r.batch, r.err
 }
 
@@ -138,3 +142,13 @@
 	}
 	b.Wait(t.Context())
 }
+
+// Guards against a reply of the store that ends the process.
+func TestPanicCountsAsFailedCall(t *testing.T) {
+	events := run(t, &source{lists: []reply{{panics: true}, {batch: store.Batch[ident.DomainName]{AsOf: 3}}}, watches: []reply{{panics: true}}},
+		"list", "list", "watch", "list")
+	require.GreaterOrEqual(t, len(events), 3)
+	require.IsType(t, hub.StoreUnavailable{}, events[0])
+	require.IsType(t, hub.StoreAvailable{}, events[1])
+	require.IsType(t, hub.EvacuationsUpdate{}, events[2])
+}
--- a/goldcreststand/internal/hub/loop.go
+++ b/goldcreststand/internal/hub/loop.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"goldcreststand.example/core/route"
 	"goldcreststand.example/core/spread"
+	"goldcreststand.example/lib/guard"
 )
 
 const (
@@ -149,16 +151,31 @@
 	l.handle(tick{paused: paused})
 }
 
+// apply applies the event. One that cannot be applied must not end the process: it would do so again after each restart.
+func (l *Loop) apply(ev Event) (actions []Action) {
+	if err := guard.Call(func() { actions = ev.apply(l.state) }); err != nil {
+		l.state.logChange("event failed", logrus.Fields{"event": fmt.Sprintf("%T", ev), "error": err.Error()})
+	}
+	return actions
+}
+
+// publish publishes a new snapshot. If it cannot be built, the last one remains in use.
+func (l *Loop) publish() {
+	if err := guard.Call(func() { l.snapshot.Store(l.state.snapshot()) }); err != nil {
+		l.state.logChange("snapshot failed", logrus.Fields{"error": err.Error()})
+	}
+}
+
 // handle applies the event and all queued ones, then publishes one snapshot.
 func (l *Loop) handle(ev Event) {
 	l.state.now = l.clock.Now()
-	actions := ev.apply(l.state)
+	actions := l.apply(ev)
 	for range len(l.events) {
-		actions = append(actions, (<-l.events).apply(l.state)...)
+		actions = append(actions, l.apply(<-l.events)...)
 	}
 	if l.state.changed {
 		l.state.changed = false
-		l.snapshot.Store(l.state.snapshot())
+		l.publish()
 	}
 	l.freshness.Store(&freshnessAt{l.state.freshness(), l.state.now})
 	for _, a := range actions {
--- a/goldcreststand/internal/mesh/poll.go
+++ b/goldcreststand/internal/mesh/poll.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"goldcreststand.example/goldcreststand/internal/hub"
+	"goldcreststand.example/lib/guard"
 	"goldcreststand.example/schema/wire"
 )
 
@@ -39,7 +40,12 @@
 	}
 	out.Age, out.Grace = millis(reply.Age), millis(reply.Grace)
 	for _, x := range reply.News {
-		ev, err := m.decode(x)
+		var ev hub.Event
+		var err error
+		// The result of a poll must be posted even if the decoder panics, because control waits for it.
+		if failure := guard.Call(func() { ev, err = m.decode(x) }); failure != nil {
+			err = Error.Wrap(failure)
+		}
 		if err != nil {
 			out.Err = err
 			return out
--- a/goldcreststand/internal/worker/pool.go
+++ b/goldcreststand/internal/worker/pool.go
@@ -5,9 +5,13 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"goldcreststand.example/lib/guard"
 )
 
-// Pool runs tasks. Its queue holds as many tasks as it runs concurrently.
+// Pool runs tasks. A panic ends only its task. Its queue holds as many tasks as it runs concurrently.
 type Pool struct {
 	queue chan func(context.Context)
 	done  chan struct{}
@@ -47,7 +51,9 @@
 			}
 			wg.Go(func() {
 				defer func() { <-slots }()
-				task(ctx)
+				if err := guard.Call(func() { task(ctx) }); err != nil {
+					logrus.WithError(err).Error("worker: task failed")
+				}
 			})
 		case <-ctx.Done():
 			return
--- a/goldcreststand/internal/worker/pool_test.go
+++ b/goldcreststand/internal/worker/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
@@ -34,3 +35,19 @@
 	<-p.Done()
 	require.GreaterOrEqual(t, len(ended), 2)
 }
+
+// Guards against a task that ends the process or keeps its place in the pool.
+func TestPanicEndsOnlyItsTask(t *testing.T) {
+	p := worker.New(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	go p.Run(ctx)
+	ran := make(chan struct{})
+	submit := func(task func(context.Context)) {
+		require.Eventually(t, func() bool { return p.TrySubmit(task) }, time.Second, time.Millisecond)
+	}
+	submit(func(context.Context) { panic("task") })
+	submit(func(context.Context) { close(ran) })
+	<-ran
+	cancel()
+	<-p.Done()
+}
