edge: limits on what is read of a response

The machines have 184 MB and up. A body without end reached a caller of HTTP/1.0 as a complete one, since its end is that of the connection.

Change: a connection reads at most 64 KB and 256 fields of a head, skipped responses included, and of a whole reply to a check; a server that sends more counts as one that does not reply. Sixteen bodies above 64 KB are buffered at a time; others are streamed. A stream ends at the deadline, or a second later if its caller does not read, and never looks complete: a connection of HTTP/1.0 is reset. The clients of the store, of the product's platform, the prober and goldctl have limits for heads and replies too.

--- a/goldcreststand/internal/edge/call.go
+++ b/goldcreststand/internal/edge/call.go
@@ -247,6 +247,15 @@
 	return r.ReadCloser.Close()
 }
 
+// release ends the use of memory for the responses of the call.
+func (c *call) release() {
+	for _, t := range c.tries {
+		if t.resp != nil {
+			t.resp.release(c.h.conns.long)
+		}
+	}
+}
+
 // classify sets the result of the try and returns its events.
 func (c *call) classify(n retry.TryNumber, t *try, wrote bool) []retry.Event {
 	now := c.h.clock.Now()
--- a/goldcreststand/internal/edge/check.go
+++ b/goldcreststand/internal/edge/check.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -174,7 +175,7 @@
 	st := c.server.State
 	if err != nil {
 		h.conns.drop(c.conn)
-		if isTimeout(err) {
+		if isTimeout(err) || errors.Is(err, errResponseTooLarge) {
 			st.RecordNoReply(now)
 			h.metrics.MissedChecks.Add(1)
 		}
--- a/goldcreststand/internal/edge/conn.go
+++ b/goldcreststand/internal/edge/conn.go
@@ -23,9 +23,6 @@
 	readBufferSize = 4 << 10
 	// maxStaleResponses bounds the responses to earlier requests that are skipped.
 	maxStaleResponses = 4
-	// maxBufferedBody is the size up to which a body is buffered. The call can be retried if a buffered body is
-	// truncated; longer bodies are streamed.
-	maxBufferedBody = 1 << 20
 	// maxInlineBody is the size up to which a body is written before the response is read. A longer one is written
 	// concurrently, because a server that responds early stops reading and the write would block.
 	maxInlineBody = 4 << 10
@@ -49,6 +46,8 @@
 	body   []byte
 	// rest is the remaining body, or nil if body is complete.
 	rest io.ReadCloser
+	// long reports that the body counts as one of the long bodies that are buffered.
+	long bool
 	// id is the id of the request in the response, or empty.
 	id ident.RequestID
 	// notExecuted reports that the server did not execute the request, signed that the response has its signature.
@@ -70,7 +69,10 @@
 type conn struct {
 	server *spread.Server
 	nc     net.Conn
-	br     *bufio.Reader
+	// limit bounds what br reads.
+	limit *limitedReader
+	br    *bufio.Reader
+	long  longBodies
 	// expires is the end of the idle timeout.
 	expires     time.Time
 	idleTimeout time.Duration
@@ -78,8 +80,11 @@
 	unusable bool
 }
 
-func newConn(s *spread.Server, nc net.Conn) *conn {
-	return &conn{server: s, nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: defaultIdleTimeout}
+func newConn(s *spread.Server, nc net.Conn, long longBodies) *conn {
+	limit := &limitedReader{r: nc}
+	return &conn{
+		server: s, nc: nc, limit: limit, br: bufio.NewReaderSize(limit, readBufferSize), long: long, idleTimeout: defaultIdleTimeout,
+	}
 }
 
 func (c *conn) close() { _ = c.nc.Close() }
@@ -96,7 +101,7 @@
 // readCheck reads the response to a status check. A response with a request id is a late response to an earlier call,
 // and the connection cannot be used any more.
 func (c *conn) readCheck(d Dialect) (checkReply, error) {
-	resp, err := http.ReadResponse(c.br, nil)
+	resp, err := c.readHead(nil)
 	if err != nil {
 		return checkReply{}, err
 	}
@@ -114,6 +119,22 @@
 	return out, nil
 }
 
+// readHead reads the head of a response to the request. The reader of its body must lift the limit of the head.
+func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	c.limit.startHead()
+	resp, err := http.ReadResponse(c.br, r)
+	switch {
+	case err != nil && c.limit.left <= 0:
+		// net/http reports the limit as an unexpected end.
+		return nil, errResponseTooLarge
+	case err != nil:
+		return nil, err
+	case len(resp.Header) > maxResponseFields:
+		return nil, errResponseTooLarge
+	}
+	return resp, nil
+}
+
 // serverRequest is an encoded request to a backend server.
 type serverRequest struct {
 	method string
@@ -170,7 +191,7 @@
 // readResponse reads the response to the request, and skips informational responses and those to earlier requests.
 func (c *conn) readResponse(d Dialect, req *serverRequest) (*response, error) {
 	for range maxStaleResponses {
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: req.method})
+		resp, err := c.readHead(&http.Request{Method: req.method})
 		if err != nil {
 			c.unusable = true
 			return nil, err
@@ -184,6 +205,10 @@
 			return nil, err
 		}
 		if out.id != "" && out.id != req.id {
+			out.release(c.long)
+			if out.rest != nil {
+				break
+			}
 			continue
 		}
 		return out, c.verify(out)
@@ -207,28 +232,26 @@
 	return nil
 }
 
-// readBody reads the response's body, up to maxBufferedBody bytes of it.
+// readBody reads the response's body. Of a long one it reads a part.
 func (c *conn) readBody(d Dialect, resp *http.Response) (*response, error) {
 	out := &response{
 		status: resp.StatusCode, header: resp.Header, id: d.RequestID(resp.Header),
 		notExecuted: d.NotExecuted(resp.StatusCode, resp.Header), signed: d.Signed(resp.Header),
 		notice: d.Notice(resp.StatusCode, resp.Header),
 	}
+	c.limit.startBody()
 	var err error
 	switch n := resp.ContentLength; {
 	case resp.Body == http.NoBody:
 		// A response to HEAD has a Content-Length but no body.
-	case n >= 0 && n <= maxBufferedBody:
+	case n >= 0 && n <= maxSmallBody:
 		out.body = make([]byte, n)
 		_, err = io.ReadFull(resp.Body, out.body)
 	default:
-		out.body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
-		if err == nil && len(out.body) == maxBufferedBody {
-			out.rest = resp.Body
-			c.unusable = true
-		}
+		err = c.readLongBody(out, resp.Body)
 	}
 	if err != nil {
+		out.release(c.long)
 		return nil, err
 	}
 	c.readKeepAlive(resp)
@@ -239,6 +262,32 @@
 	return out, nil
 }
 
+// readLongBody reads a body whose length is unknown or large. What does not fit into memory is left in rest.
+func (c *conn) readLongBody(out *response, body io.ReadCloser) error {
+	var err error
+	if out.body, err = io.ReadAll(io.LimitReader(body, maxSmallBody)); err != nil || len(out.body) < maxSmallBody {
+		return err
+	}
+	if out.long = c.long.reserve(); out.long {
+		more, err := io.ReadAll(io.LimitReader(body, maxBufferedBody-maxSmallBody))
+		out.body = append(out.body, more...)
+		if err != nil || len(out.body) < maxBufferedBody {
+			return err
+		}
+	}
+	out.rest = body
+	c.unusable = true
+	return nil
+}
+
+// release ends the use of memory that was reserved for a long body.
+func (r *response) release(long longBodies) {
+	if r.long {
+		r.long = false
+		long.release()
+	}
+}
+
 // readKeepAlive sets the idle timeout from the server's Keep-Alive field.
 func (c *conn) readKeepAlive(resp *http.Response) {
 	if resp.Close {
--- a/goldcreststand/internal/edge/connsets.go
+++ b/goldcreststand/internal/edge/connsets.go
@@ -29,6 +29,7 @@
 type connSets struct {
 	dialer Dialer
 	clock  clockwork.Clock
+	long   longBodies
 
 	mu   sync.Mutex
 	sets map[ident.ServerID]*connSet
@@ -42,7 +43,7 @@
 }
 
 func newConnSets(d Dialer, clock clockwork.Clock) *connSets {
-	return &connSets{dialer: d, clock: clock, sets: make(map[ident.ServerID]*connSet)}
+	return &connSets{dialer: d, clock: clock, long: newLongBodies(), sets: make(map[ident.ServerID]*connSet)}
 }
 
 func (cs *connSets) set(id ident.ServerID) *connSet {
@@ -117,7 +118,7 @@
 		cs.release(s.ID)
 		return nil, err
 	}
-	return newConn(s, nc), nil
+	return newConn(s, nc, cs.long), nil
 }
 
 // closeIdle closes the connections whose idle timeout has expired, and those to servers that are leaving.
--- a/goldcreststand/internal/edge/handler.go
+++ b/goldcreststand/internal/edge/handler.go
@@ -30,6 +30,8 @@
 	retryAfter = 30 * time.Millisecond
 	// notReadyRetryAfter is the Retry-After time until this instance has its configuration.
 	notReadyRetryAfter = 200 * time.Millisecond
+	// writeGrace is the time after the deadline within which a caller must have read what was sent before.
+	writeGrace = time.Second
 )
 
 // Snapshots provides the latest snapshot.
@@ -108,6 +110,7 @@
 		h.reject(w, c, rej)
 		return
 	}
+	defer c.release()
 	c.run()
 	h.finish(w, c)
 }
@@ -268,17 +271,35 @@
 		out.Set("Content-Length", strconv.Itoa(len(r.body)))
 	}
 	w.WriteHeader(r.status)
-	_, err := w.Write(r.body)
 	if r.rest == nil {
+		_, _ = w.Write(r.body)
 		return
 	}
+	// The connection to the server fails at the deadline; a caller that does not read must not outlast it.
+	_ = http.NewResponseController(w).SetWriteDeadline(c.deadline.Add(writeGrace))
+	_, err := w.Write(r.body)
 	if err == nil {
 		_, err = io.Copy(w, r.rest)
 	}
 	_ = r.rest.Close()
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		abort(w, c.r)
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+}
+
+// abort ends a response that cannot be completed. It does not return normally. The end of the connection is also the end
+// of the body for a caller that speaks HTTP/1.0, so that such a connection is reset.
+func abort(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		if nc, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			if tc, ok := nc.(*net.TCPConn); ok {
+				_ = tc.SetLinger(0)
+			}
+			_ = nc.Close()
+		}
 	}
+	panic(http.ErrAbortHandler)
 }
 
 // rejection returns the rejection of a call without a response.
--- a/goldcreststand/internal/prober/prober.go
+++ b/goldcreststand/internal/prober/prober.go
@@ -75,7 +75,8 @@
 	defer cancel()
 	var n atomic.Int64
 	transport := &http.Transport{
-		DisableCompression: true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: int64(probe.MaxBytes),
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := new(net.Dialer).DialContext(ctx, network, addr)
 			if err != nil {
--- a/goldcreststand/internal/prober/prober_test.go
+++ b/goldcreststand/internal/prober/prober_test.go
@@ -41,6 +41,9 @@
 		{name: "large", health: func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = w.Write([]byte(strings.Repeat("x", 1<<20)))
 		}, failed: true},
+		{name: "large head", health: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Long", strings.Repeat("x", 1<<20))
+		}, failed: true},
 		{name: "hangs", health: func(http.ResponseWriter, *http.Request) { <-hang }, failed: true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/goldctl/internal/cmd/statusresults.go
+++ b/goldctl/internal/cmd/statusresults.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -19,6 +20,9 @@
 // statusTimeout is the timeout of the status request to one instance.
 const statusTimeout = time.Second
 
+// maxStatusBytes limits the size of a status that is read.
+const maxStatusBytes = 4 << 20
+
 // adminFlags are the flags for reaching the instances.
 type adminFlags struct {
 	addresses string
@@ -91,6 +95,6 @@
 		r.err = fmt.Errorf("status of %s: %s", address, resp.Status)
 		return r
 	}
-	r.err = json.NewDecoder(resp.Body).Decode(&r.status)
+	r.err = json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&r.status)
 	return r
 }
--- a/lib/plat/client.go
+++ b/lib/plat/client.go
@@ -19,6 +19,9 @@
 // MaxValueBytes is the maximum size of an object's value in bytes.
 const MaxValueBytes = 1 << 20
 
+// maxHeaderBytes limits the size of a response's header; net/http would read up to 10 MB.
+const maxHeaderBytes = 64 << 10
+
 // Collections of the object store.
 const (
 	CollectionTables          = "tables"
@@ -55,6 +58,7 @@
 func newTransport() *http.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxIdleConnsPerHost = 64
+	t.MaxResponseHeaderBytes = maxHeaderBytes
 	return t
 }
 
