cmd: a planned stop answers the calls that were just accepted

Change: a process that leaves serves for one more second, or half of its drain time, with `Connection: close` on each response, then waits until timers fire on time as the users' front end does already (boot.WaitForTimers, moved there), and only then shuts down.

Ruled out: Server.SetKeepAlivesEnabled(false), which closes the same connections at once.

--- a/goldcreststand/internal/cmd/daemon.go
+++ b/goldcreststand/internal/cmd/daemon.go
@@ -33,6 +33,7 @@
 // daemon holds the components of an instance.
 type daemon struct {
 	settings   *config.Settings
+	clock      clockwork.Clock
 	log        *logrus.Logger
 	loop       *ctrl.Loop
 	peer       *peer.Peer
@@ -48,7 +49,7 @@
 
 // newDaemon builds the components without starting them.
 func newDaemon(s *config.Settings, clock clockwork.Clock, log *logrus.Logger) *daemon {
-	d := &daemon{settings: s, log: log}
+	d := &daemon{settings: s, clock: clock, log: log}
 	d.watcher = watch.New(plat.New(s.Platform.URL, s.Platform.Timeout.Std()), clock, logs.WithPrefix(log, "watch"))
 	d.peer = peer.New(clock, logs.WithPrefix(log, "peer"))
 	d.fetches = fetch.New(s.Name, d.peer, logs.WithPrefix(log, "fetch"))
@@ -84,7 +85,7 @@
 	err = serveAll(d.leaveContext(ctx, componentsCtx), []*listener{
 		newListener("traffic", d.settings.Traffic.Address.String(), d.traffic),
 		newListener("admin", d.settings.Admin.Address.String(), admin.New(d.settings.Name, d.settings.Domain, d.loop, d.metrics)),
-	}, d.settings.Traffic.Drain.Std(), logs.WithPrefix(d.log, "serve"))
+	}, d.settings.Traffic.Drain.Std(), d.clock, logs.WithPrefix(d.log, "serve"))
 	stop()
 	d.wait()
 	return err
--- a/goldcreststand/internal/cmd/listener.go
+++ b/goldcreststand/internal/cmd/listener.go
@@ -5,23 +5,45 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/errs"
+
+	"goldcreststand.example/lib/boot"
 )
 
 // readHeaderTimeout bounds the time for reading a request's headers.
 const readHeaderTimeout = 10 * time.Second
 
+// maxLinger limits the time for which a process that leaves still takes calls. Callers that keep a connection open send
+// their next call within it, and its response says that the connection ends.
+const maxLinger = time.Second
+
 // listener is one HTTP server with its name in logs.
 type listener struct {
 	name string
 	srv  *http.Server
+	// leaving is set once the process leaves.
+	leaving atomic.Bool
 }
 
 // newListener returns a listener that has not started.
 func newListener(name, address string, h http.Handler) *listener {
-	return &listener{name: name, srv: &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout}}
+	l := &listener{name: name}
+	l.srv = &http.Server{Addr: address, Handler: l.announceEnd(h), ReadHeaderTimeout: readHeaderTimeout}
+	return l
+}
+
+// announceEnd adds to each response that its connection ends, while the process leaves.
+func (l *listener) announceEnd(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 type infoLog interface {
@@ -30,7 +52,7 @@
 
 // serveAll serves until the context ends or a listener fails. At the end of the context it waits for calls in
 // flight, at most for the drain time.
-func serveAll(ctx context.Context, ls []*listener, drain time.Duration, log infoLog) error {
+func serveAll(ctx context.Context, ls []*listener, drain time.Duration, clock clockwork.Clock, log infoLog) error {
 	failed := make(chan error, len(ls))
 	for _, l := range ls {
 		sock, err := net.Listen("tcp", l.srv.Addr)
@@ -46,12 +68,19 @@
 	case <-ctx.Done():
 	}
 	log.Infof("draining calls in flight")
-	return shutdown(ls, drain)
+	return shutdown(ls, drain, clock)
 }
 
-func shutdown(ls []*listener, drain time.Duration) error {
+// shutdown ends the listeners. net/http closes connections on which a request has arrived and was not read yet, so that
+// callers are first told that their connections end, and what has arrived is read.
+func shutdown(ls []*listener, drain time.Duration, clock clockwork.Clock) error {
 	ctx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
+	for _, l := range ls {
+		l.leaving.Store(true)
+	}
+	clock.Sleep(min(maxLinger, drain/2))
+	boot.WaitForTimers(ctx, clock)
 	var group errs.Group
 	for _, l := range ls {
 		err := l.srv.Shutdown(ctx)
--- /dev/null
+++ b/goldcreststand/internal/cmd/listener_test.go
@@ -0,0 +1,74 @@
+package cmd
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	sock, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = sock.Close() }()
+	return sock.Addr().String()
+}
+
+// Guards against a planned stop under load that cuts off calls which have just been accepted: a caller that sends calls
+// on a kept connection must get an answer to each, the last of which says that the connection ends.
+func TestPlannedStopAnswersAcceptedCalls(t *testing.T) {
+	const callers = 64
+	address := freeAddress(t)
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(2 * time.Millisecond)
+		_, _ = w.Write([]byte("ok"))
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- serveAll(ctx, []*listener{newListener("traffic", address, h)}, 10*time.Second, clockwork.NewRealClock(), logrus.New())
+	}()
+	var lost, served atomic.Int32
+	var wg sync.WaitGroup
+	for range callers {
+		var nc net.Conn
+		require.Eventually(t, func() (ok bool) {
+			var err error
+			nc, err = net.Dial("tcp", address)
+			return err == nil
+		}, 5*time.Second, time.Millisecond)
+		wg.Go(func() {
+			defer func() { _ = nc.Close() }()
+			br := bufio.NewReader(nc)
+			for {
+				time.Sleep(time.Millisecond)
+				_, _ = fmt.Fprintf(nc, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx")
+				resp, err := http.ReadResponse(br, nil)
+				if err != nil {
+					lost.Add(1)
+					return
+				}
+				served.Add(1)
+				_, _ = br.Discard(int(resp.ContentLength))
+				if resp.Close {
+					return
+				}
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return served.Load() > 4*callers }, 10*time.Second, time.Millisecond)
+	stop()
+	wg.Wait()
+	require.NoError(t, <-ended)
+	require.Zero(t, lost.Load())
+}
--- a/goldcreststand/internal/edge/server.go
+++ b/goldcreststand/internal/edge/server.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"goldcreststand.example/lib/boot"
 )
 
 const (
@@ -18,11 +20,6 @@
 	headerTimeout = 10 * time.Second
 	// idleCallerInterval is the time between two searches for idle connections of callers.
 	idleCallerInterval = time.Second
-	// Shutdown starts after requiredTimerChecks consecutive timers of timerCheckInterval have each fired at most
-	// maxTimerDelay late.
-	timerCheckInterval  = 10 * time.Millisecond
-	maxTimerDelay       = 10 * time.Millisecond
-	requiredTimerChecks = 3
 	// defaultCallerIdleTimeout is the idle timeout of callers until the configuration is known.
 	defaultCallerIdleTimeout = time.Minute
 )
@@ -72,25 +69,10 @@
 // counts a connection as idle while an arrived request has not been read, so a process that is short of processor time
 // first catches up on reading.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.waitForTimers(ctx)
+	boot.WaitForTimers(ctx, s.clock)
 	return s.srv.Shutdown(ctx)
 }
 
-// waitForTimers waits until timers fire on time.
-func (s *Server) waitForTimers(ctx context.Context) {
-	for n := 0; n < requiredTimerChecks; n++ {
-		at := s.clock.Now()
-		select {
-		case <-s.clock.After(timerCheckInterval):
-		case <-ctx.Done():
-			return
-		}
-		if s.clock.Since(at)-timerCheckInterval > maxTimerDelay {
-			n = -1
-		}
-	}
-}
-
 // trackIdle records the time since which a connection has been idle.
 func (s *Server) trackIdle(c net.Conn, st http.ConnState) {
 	s.mu.Lock()
--- a/goldcreststand/internal/edge/server_test.go
+++ b/goldcreststand/internal/edge/server_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"goldcreststand.example/core/spread"
+	"goldcreststand.example/lib/boot"
 )
 
 // Guards against a connection that is closed as idle although a request has arrived on it. A process that is short of
@@ -20,12 +21,12 @@
 	go func() { done <- s.Shutdown(t.Context()) }()
 	advanceTimer := func(late time.Duration) {
 		require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
-		clock.Advance(timerCheckInterval + late)
+		clock.Advance(boot.TimerCheckInterval + late)
 	}
 	advanceTimer(0)
 	advanceTimer(0)
 	advanceTimer(200 * time.Millisecond)
-	for range requiredTimerChecks {
+	for range boot.RequiredTimerChecks {
 		require.Empty(t, done, "shut down although a timer was late")
 		advanceTimer(0)
 	}
--- /dev/null
+++ b/lib/boot/timers.go
@@ -0,0 +1,32 @@
+package boot
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// TimerCheckInterval is the duration of the timers by which WaitForTimers measures how late timers fire.
+	TimerCheckInterval = 10 * time.Millisecond
+	// RequiredTimerChecks is the number of consecutive timers that must fire at most maxTimerDelay late.
+	RequiredTimerChecks = 3
+	maxTimerDelay       = 10 * time.Millisecond
+)
+
+// WaitForTimers waits until timers fire on time, or until the context ends. A process that is short of processor time has
+// then caught up on its work, such as reading the requests that have arrived.
+func WaitForTimers(ctx context.Context, clock clockwork.Clock) {
+	for n := 0; n < RequiredTimerChecks; n++ {
+		at := clock.Now()
+		select {
+		case <-clock.After(TimerCheckInterval):
+		case <-ctx.Done():
+			return
+		}
+		if clock.Since(at)-TimerCheckInterval > maxTimerDelay {
+			n = -1
+		}
+	}
+}
