edge, proxy: late copies of responses, and truncated ones for callers of HTTP/1.0

Causes, shown by tests that failed first: - edge.TestLateCopyIsNotTheNextResponse: a second copy of a response that names no request was taken for the reply to the next status check, and the reply to the check for the response to the call, which ended with 502. No caller got another's response. A reply to a check must now name its server, and nothing may follow it. - proxy.TestTruncatedResponseDoesNotLookComplete: a chunked response that broke off reached a caller of HTTP/1.0 as a complete one on the product's own front end, too. Both front ends end such responses by lib/abort, which resets these connections.

--- a/goldcreststand/internal/edge/conn.go
+++ b/goldcreststand/internal/edge/conn.go
@@ -98,8 +98,8 @@
 	return err
 }
 
-// readCheck reads the response to a status check. A response with a request id is a late response to an earlier call,
-// and the connection cannot be used any more.
+// readCheck reads the response to a status check. A response that has a request id, lacks the server's own id or is
+// followed by further bytes is a late response to an earlier call, and the connection cannot be used any more.
 func (c *conn) readCheck(d Dialect) (checkReply, error) {
 	resp, err := c.readHead(nil)
 	if err != nil {
@@ -108,12 +108,13 @@
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return checkReply{}, err
 	}
-	if d.RequestID(resp.Header) != "" {
+	id := d.ServerID(resp.Header)
+	if d.RequestID(resp.Header) != "" || id == "" && resp.StatusCode == http.StatusOK || c.br.Buffered() > 0 {
 		return checkReply{}, errStale
 	}
 	c.readKeepAlive(resp)
 	out := checkReply{
-		status: resp.StatusCode, server: d.ServerID(resp.Header), notice: d.Notice(resp.StatusCode, resp.Header),
+		status: resp.StatusCode, server: id, notice: d.Notice(resp.StatusCode, resp.Header),
 	}
 	out.load, out.hasLoad = d.Load(resp.Header)
 	return out, nil
--- a/goldcreststand/internal/edge/handler.go
+++ b/goldcreststand/internal/edge/handler.go
@@ -20,6 +20,7 @@
 	"goldcreststand.example/core/route"
 	"goldcreststand.example/core/rules"
 	"goldcreststand.example/core/spread"
+	"goldcreststand.example/lib/abort"
 )
 
 const (
@@ -283,25 +284,11 @@
 	}
 	_ = r.rest.Close()
 	if err != nil {
-		abort(w, c.r)
+		abort.Response(w, c.r)
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 }
 
-// abort ends a response that cannot be completed. It does not return normally. The end of the connection is also the end
-// of the body for a caller that speaks HTTP/1.0, so that such a connection is reset.
-func abort(w http.ResponseWriter, r *http.Request) {
-	if !r.ProtoAtLeast(1, 1) {
-		if nc, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			if tc, ok := nc.(*net.TCPConn); ok {
-				_ = tc.SetLinger(0)
-			}
-			_ = nc.Close()
-		}
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // rejection returns the rejection of a call without a response.
 func (c *call) rejection() *rejection {
 	pause, paused := c.retryPool().Unavailable(c.h.clock.Now())
--- a/goldcreststand/internal/proxy/forward.go
+++ b/goldcreststand/internal/proxy/forward.go
@@ -13,6 +13,7 @@
 
 	"goldcreststand.example/core/retry"
 	"goldcreststand.example/core/route"
+	"goldcreststand.example/lib/abort"
 	"goldcreststand.example/lib/stats"
 )
 
@@ -75,6 +76,16 @@
 		})
 	}()
 	req := c.Request()
+	// The reverse proxy panics when the server's response breaks off.
+	defer func() {
+		switch p := recover(); p {
+		case nil:
+		case http.ErrAbortHandler:
+			abort.Response(c.Response(), req)
+		default:
+			panic(p)
+		}
+	}()
 	h.reverseProxy.ServeHTTP(c.Response(), req.WithContext(context.WithValue(req.Context(), forwardedCallKey{}, call)))
 	if call.resp != nil {
 		call.result = call.resultName()
