edge: close the connection of a long response that is not returned

Cause, shown by edge.TestDiscardedLongResponseClosesItsConnection (failed without the change, for a retried response and for one that must not be returned): the rest of a body over 64 KB was left unread, its connection stayed open and counted against the limit of its server, so that after a few such responses the instance called the server no more.

Change: the responses of a call that were not copied are closed at its end.

--- a/goldcreststand/internal/edge/call.go
+++ b/goldcreststand/internal/edge/call.go
@@ -247,12 +247,15 @@
 	return r.ReadCloser.Close()
 }
 
-// release ends the use of memory for the responses of the call.
+// release ends the use of memory and connections for the responses of the call.
 func (c *call) release() {
 	for _, t := range c.tries {
-		if t.resp != nil {
-			t.resp.release(c.h.conns.long)
+		if t.resp == nil {
+			continue
 		}
+		t.resp.release(c.h.conns.long)
+		// The body of a response that was not returned is not read to its end.
+		t.resp.closeRest()
 	}
 }
 
--- a/goldcreststand/internal/edge/conn.go
+++ b/goldcreststand/internal/edge/conn.go
@@ -289,6 +289,14 @@
 	}
 }
 
+// closeRest closes the remaining body with its connection.
+func (r *response) closeRest() {
+	if r.rest != nil {
+		_ = r.rest.Close()
+		r.rest = nil
+	}
+}
+
 // readKeepAlive sets the idle timeout from the server's Keep-Alive field.
 func (c *conn) readKeepAlive(resp *http.Response) {
 	if resp.Close {
--- a/goldcreststand/internal/edge/handler.go
+++ b/goldcreststand/internal/edge/handler.go
@@ -282,7 +282,7 @@
 	if err == nil {
 		_, err = io.Copy(w, r.rest)
 	}
-	_ = r.rest.Close()
+	r.closeRest()
 	if err != nil {
 		abort.Response(w, c.r)
 	}
--- a/goldcreststand/internal/edge/handler_test.go
+++ b/goldcreststand/internal/edge/handler_test.go
@@ -314,3 +314,24 @@
 		require.Equal(t, http.StatusOK, status)
 	}
 }
+
+// Guards against connections that stay open, and count against the limit of their server, when a long response is not
+// returned to the caller.
+func TestDiscardedLongResponseClosesItsConnection(t *testing.T) {
+	long := strings.Repeat("x", 2<<20)
+	for name, replies := range map[string]reply{
+		"retried": respond(http.StatusInternalServerError, long), "not returned": respond(http.StatusServiceUnavailable, long),
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, "s1", replies)
+			f := newHarness(t, b)
+			f.setTimeout(10 * time.Second)
+			// The instance may open eight connections to the server.
+			for n := range 20 {
+				status, _, _ := f.do(f.request(http.MethodGet, "/safe/", nil))
+				require.NotEqual(t, http.StatusGatewayTimeout, status)
+				require.Greater(t, b.count(), n, "the call reached no server")
+			}
+		})
+	}
+}
