notice: one function tells whether all servers pause, and ends at the first that does not

Each rejection and each poll without a server summed up every server of the pool, and both front ends had a loop of their own with a check for nil. Unavailable ends at the first available server and serves both; nil is available. Behaviour is unchanged; the assertions of the tests are as they were.

--- a/core/notice/availability.go
+++ b/core/notice/availability.go
@@ -6,7 +6,7 @@
 )
 
 // Availability holds what one incarnation of a backend server has said. A server that starts again has a new one. The
-// zero value is available. Times are readings of one monotonic clock. It is safe for concurrent use.
+// zero value is available, and so is nil. Times are readings of one monotonic clock. It is safe for concurrent use.
 type Availability struct {
 	leaving     atomic.Bool
 	pausedUntil atomic.Int64
@@ -36,5 +36,5 @@
 
 // Available reports whether the server may receive requests and status checks.
 func (a *Availability) Available(now time.Duration) bool {
-	return !a.Leaving() && a.PauseLeft(now) == 0
+	return a == nil || !a.Leaving() && a.PauseLeft(now) == 0
 }
--- a/core/notice/notice_test.go
+++ b/core/notice/notice_test.go
@@ -1,6 +1,7 @@
 package notice_test
 
 import (
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -48,9 +49,9 @@
 
 // Guards against calls that wait although every server has asked for a pause, and against a time of return that lies
 // after the end of the first pause.
-func TestSummary(t *testing.T) {
+func TestUnavailable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var s notice.Summary
+		servers := make(map[*notice.Availability]time.Duration)
 		now := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "now"))
 		n := rapid.IntRange(0, 6).Draw(t, "servers")
 		available := 0
@@ -67,9 +68,9 @@
 			case !leaving && (first == 0 || pause < first):
 				first = pause
 			}
-			s.Add(&a, now)
+			servers[&a] = now
 		}
-		after, unavailable := s.Unavailable()
+		after, unavailable := notice.Unavailable(maps.All(servers))
 		require.Equal(t, n > 0 && available == 0, unavailable)
 		if unavailable {
 			require.Equal(t, first, after)
--- a/core/route/serverload.go
+++ b/core/route/serverload.go
@@ -162,5 +162,5 @@
 
 // available reports whether the server may get one more call from this instance.
 func (s *Server) available(now time.Duration) bool {
-	return s.Weight > 0 && s.Load.Inflight() < s.MaxInflight && (s.Availability == nil || s.Availability.Available(now))
+	return s.Weight > 0 && s.Load.Inflight() < s.MaxInflight && s.Availability.Available(now)
 }
--- a/core/route/snapshot.go
+++ b/core/route/snapshot.go
@@ -46,14 +46,13 @@
 // Unavailable reports whether all servers are leaving or have asked for a pause, and after which time the first pause
 // ends.
 func (s *Service) Unavailable(now time.Duration) (after time.Duration, unavailable bool) {
-	var sum notice.Summary
-	for _, srv := range s.Servers {
-		if srv.Availability == nil {
-			return 0, false
+	return notice.Unavailable(func(yield func(*notice.Availability, time.Duration) bool) {
+		for _, srv := range s.Servers {
+			if !yield(srv.Availability, now) {
+				return
+			}
 		}
-		sum.Add(srv.Availability, now)
-	}
-	return sum.Unavailable()
+	})
 }
 
 // Server is one backend server with the limits that apply to this instance.
--- a/core/spread/snapshot.go
+++ b/core/spread/snapshot.go
@@ -79,13 +79,15 @@
 // Unavailable reports whether all servers of the pool are leaving or have asked for a pause, and after which time the
 // first pause ends.
 func (p *Pool) Unavailable(now time.Time) (after time.Duration, unavailable bool) {
-	var sum notice.Summary
-	for _, list := range [][]*Server{p.Local, p.Remote} {
-		for _, s := range list {
-			sum.Add(&s.State.availability, now.Sub(s.State.start))
+	return notice.Unavailable(func(yield func(*notice.Availability, time.Duration) bool) {
+		for _, list := range [][]*Server{p.Local, p.Remote} {
+			for _, s := range list {
+				if !yield(&s.State.availability, now.Sub(s.State.start)) {
+					return
+				}
+			}
 		}
-	}
-	return sum.Unavailable()
+	})
 }
 
 // Add adds a server.
--- a/goldcreststand/internal/ctrl/healthevents.go
+++ b/goldcreststand/internal/ctrl/healthevents.go
@@ -132,7 +132,7 @@
 	addresses := make(map[ident.ServerID]netip.AddrPort)
 	for _, srv := range s.serverList.Servers {
 		status := b.tracker.Status(srv.ID, st.now)
-		if !status.Owner || status.Availability != nil && !status.Availability.Available(st.elapsed) {
+		if !status.Owner || !status.Availability.Available(st.elapsed) {
 			continue
 		}
 		addresses[srv.ID] = srv.Address
