--- /dev/null
+++ b/review/standin/lost.go
@@ -0,0 +1,3 @@
+package main
+
+func lostAnswer(d *deployment, trouble bool) (bool, error) { return false, nil }
--- /dev/null
+++ b/review/standin/server.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// run is one run of a request at a server.
+type run struct {
+	id, service, server, version string
+	at                           time.Time
+}
+
+// runs holds all runs of requests.
+type runs struct {
+	mu   sync.Mutex
+	list []run
+	byID map[string][]run
+}
+
+func newRuns() *runs { return &runs{byID: make(map[string][]run)} }
+
+func (r *runs) add(x run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = append(r.list, x)
+	r.byID[x.id] = append(r.byID[x.id], x)
+}
+
+func (r *runs) of(id string) []run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]run(nil), r.byID[id]...)
+}
+
+// server is a stand-in for a server that tells its load.
+type server struct {
+	id, service, version, zone, address string
+	slots                               int
+	work                                time.Duration
+	rec                                 *record
+	runs                                *runs
+	store                               *store
+	srv                                 *http.Server
+	l                                   *trackedListener
+	busy                                chan struct{}
+	running, waiting                    atomic.Int64
+	stop                                context.CancelFunc
+	done                                context.Context
+}
+
+// maxQueue is the number of requests that a server queues.
+const maxQueue = 6
+
+func startServer(rec *record, rs *runs, st *store, s server) (*server, error) {
+	ln, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return nil, err
+	}
+	s.rec, s.runs, s.store = rec, rs, st
+	s.busy = make(chan struct{}, s.slots)
+	s.l = &trackedListener{Listener: ln, conns: make(map[*trackedConn]bool)}
+	s.done, s.stop = context.WithCancel(context.Background())
+	s.srv = &http.Server{Handler: &s, IdleTimeout: 10 * time.Second}
+	go func() { _ = s.srv.Serve(s.l) }()
+	go s.beat()
+	return &s, nil
+}
+
+// beat reports the server to the store: at the start, and then in each status report interval.
+func (s *server) beat() {
+	born := time.Now().UnixMilli()
+	for seq := 1; s.done.Err() == nil; seq++ {
+		s.store.put("servers", s.id, map[string]any{
+			"service": s.service, "address": s.address, "zone": s.zone, "version": s.version, "slots": s.slots, "state": "ready",
+			"warmupLeftMs": 0, "seq": seq, "born": born,
+		})
+		select {
+		case <-time.After(heartbeat):
+		case <-s.done.Done():
+		}
+	}
+}
+
+// end stops the server at once, and removes its entry.
+func (s *server) end() {
+	s.stop()
+	_ = s.srv.Close()
+	s.store.remove("servers", s.id)
+	s.rec.printf("server %s of %s, version %s, stopped", s.id, s.service, s.version)
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
+	h["Date"] = nil
+	h.Set("X-Goldcreststand-Server-Load", fmt.Sprintf("%d,%d,%d,100", s.running.Load(), s.waiting.Load(), s.slots))
+	h.Set("Keep-Alive", "timeout=10")
+	if r.URL.Path == "/health" {
+		h.Set("X-Goldcreststand-Instance-Id", s.id)
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	id := r.Header.Get("X-Goldcreststand-Request-Id")
+	h.Set("X-Goldcreststand-Request-Id", id)
+	if t := r.Header.Get("X-Goldcreststand-Target-Instance"); t != "" && t != s.id {
+		h.Set("X-Goldcreststand-Instance-Id", s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	if s.waiting.Add(1) > maxQueue {
+		s.waiting.Add(-1)
+		h.Set("X-Goldcreststand-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case s.busy <- struct{}{}:
+		s.waiting.Add(-1)
+	case <-r.Context().Done():
+		s.waiting.Add(-1)
+		return
+	}
+	s.running.Add(1)
+	defer func() { s.running.Add(-1); <-s.busy }()
+	s.runs.add(run{id, s.service, s.id, s.version, time.Now()})
+	s.rec.printf("server %s of %s, version %s, runs request %s %s %s", s.id, s.service, s.version, id, r.Method, r.URL.Path)
+	select {
+	case <-time.After(s.work):
+	case <-r.Context().Done():
+		return
+	}
+	body := "done " + id + "\n"
+	h.Set("X-Goldcreststand-Response-Signature", "sig."+id)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(http.StatusOK)
+	_, _ = io.WriteString(w, body)
+}
