--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
 // errRun is a reason for which a case could not run.
@@ -46,6 +47,7 @@
 	defer d.stopAll()
 	broken, err := run(d, trouble)
 	if os.Getenv("KEEP_LOGS") != "" {
+		time.Sleep(500 * time.Millisecond)
 		_ = os.CopyFS(os.Getenv("KEEP_LOGS"), os.DirFS(dir))
 	}
 	switch {
--- a/review/standin/requester.go
+++ b/review/standin/requester.go
@@ -36,14 +36,12 @@
 	return &requesters{d: d, host: host, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second}}}
 }
 
-// send sends requests of one route to one instance until the context ends.
+// send sends requests of one route to one instance at random times, the given gap apart on average, until the context ends.
 func (q *requesters) send(ctx context.Context, i *instance, method, prefix string, limit, gap time.Duration) {
 	q.wg.Go(func() {
-		tick := time.NewTicker(gap)
-		defer tick.Stop()
 		for {
 			select {
-			case <-tick.C:
+			case <-time.After(time.Duration(min(5, rand.ExpFloat64()) * float64(gap))):
 				q.wg.Go(func() { q.one(i, method, prefix, limit) })
 			case <-ctx.Done():
 				return
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -44,22 +46,29 @@
 type server struct {
 	id, service, version, zone, address string
 	slots                               int
-	work                                time.Duration
-	rec                                 *record
-	runs                                *runs
-	store                               *store
-	srv                                 *http.Server
-	l                                   *trackedListener
-	busy                                chan struct{}
-	running, waiting                    atomic.Int64
-	stop                                context.CancelFunc
-	done                                context.Context
+	// work is the median time that a request takes; its spread is 0.3, as in the site files.
+	work             time.Duration
+	rec              *record
+	runs             *runs
+	store            *store
+	srv              *http.Server
+	l                *trackedListener
+	busy             chan struct{}
+	running, waiting atomic.Int64
+	stop             context.CancelFunc
+	done             context.Context
 }
 
+// started holds the servers that run, by service.
+var started = make(map[string][]*server)
+
+// allServers returns the servers of a service that were started.
+func allServers(service string) []*server { return append([]*server(nil), started[service]...) }
+
 // maxQueue is the number of requests that a server queues.
 const maxQueue = 6
 
-func startServer(rec *record, rs *runs, st *store, s server) (*server, error) {
+func startServer(rec *record, rs *runs, st *store, s *server) (*server, error) {
 	ln, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return nil, err
@@ -68,10 +77,11 @@
 	s.busy = make(chan struct{}, s.slots)
 	s.l = &trackedListener{Listener: ln, conns: make(map[*trackedConn]bool)}
 	s.done, s.stop = context.WithCancel(context.Background())
-	s.srv = &http.Server{Handler: &s, IdleTimeout: 10 * time.Second}
+	s.srv = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
 	go func() { _ = s.srv.Serve(s.l) }()
 	go s.beat()
-	return &s, nil
+	started[s.service] = append(started[s.service], s)
+	return s, nil
 }
 
 // beat reports the server to the store: at the start, and then in each status report interval.
@@ -133,7 +143,7 @@
 	s.runs.add(run{id, s.service, s.id, s.version, time.Now()})
 	s.rec.printf("server %s of %s, version %s, runs request %s %s %s", s.id, s.service, s.version, id, r.Method, r.URL.Path)
 	select {
-	case <-time.After(s.work):
+	case <-time.After(time.Duration(float64(s.work) * math.Exp(0.3*rand.NormFloat64()))):
 	case <-r.Context().Done():
 		return
 	}
--- a/review/standin/silent.go
+++ b/review/standin/silent.go
@@ -12,7 +12,7 @@
 	var out []*server
 	for k := range n {
 		z := k % len(zones)
-		s, err := startServer(d.rec, rs, st, server{
+		s, err := startServer(d.rec, rs, st, &server{
 			id: fmt.Sprintf("i-%s-%s-%02d", service, version, from+k), service: service, version: version, zone: zones[z],
 			address: d.addr(zoneIP(z, group, 1+from+k/len(zones)), "server"), slots: slots, work: work,
 		})
