--- a/review/standin/lost.go
+++ b/review/standin/lost.go
@@ -24,7 +24,7 @@
 	rs := newRuns()
 	const a, b = "huvo11a", "wuno96b"
 	for k, s := range []string{a, b} {
-		if _, err := startServers(d, st, rs, s, "v1", 64+k, 0, 12, 3, 30*time.Millisecond); err != nil {
+		if _, err := startServers(d, st, rs, s, "v1", 64+k, 12, 3, 30*time.Millisecond, none); err != nil {
 			return false, err
 		}
 	}
@@ -132,7 +132,7 @@
 	old.servers = allServers(service)
 	old.ordered = st.put("rollouts", service, map[string]any{"service": service, "targetVersion": "v2", "durationS": duration.Seconds()})
 	d.rec.say("the operator orders a rollout of %s to v2 within %.0f s", service, duration.Seconds())
-	_, err = startServers(d, st, rs, service, "v2", 66, 0, 12, 3, 30*time.Millisecond)
+	_, err = startServers(d, st, rs, service, "v2", 66, 12, 3, 30*time.Millisecond, none)
 	return old, ch, lost, err
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (bool, error){
 	"silent-connections": silentConnections,
 	"lost-answer":        lostAnswer,
+	"next-order":         nextOrder,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,7 +48,12 @@
 	id, service, version, zone, address string
 	slots                               int
 	// work is the median time that a request takes; its spread is 0.3, as in the site files.
-	work             time.Duration
+	work time.Duration
+	// failShare is the share of the requests on the paths with the prefix that the version fails.
+	failShare        float64
+	failPrefix       string
+	leaving          atomic.Bool
+	changed          chan struct{}
 	rec              *record
 	runs             *runs
 	store            *store
@@ -74,7 +80,7 @@
 		return nil, err
 	}
 	s.rec, s.runs, s.store = rec, rs, st
-	s.busy = make(chan struct{}, s.slots)
+	s.busy, s.changed = make(chan struct{}, s.slots), make(chan struct{}, 1)
 	s.l = &trackedListener{Listener: ln, conns: make(map[*trackedConn]bool)}
 	s.done, s.stop = context.WithCancel(context.Background())
 	s.srv = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
@@ -88,17 +94,29 @@
 func (s *server) beat() {
 	born := time.Now().UnixMilli()
 	for seq := 1; s.done.Err() == nil; seq++ {
+		state := "ready"
+		if s.leaving.Load() {
+			state = "draining"
+		}
 		s.store.put("servers", s.id, map[string]any{
-			"service": s.service, "address": s.address, "zone": s.zone, "version": s.version, "slots": s.slots, "state": "ready",
+			"service": s.service, "address": s.address, "zone": s.zone, "version": s.version, "slots": s.slots, "state": state,
 			"warmupLeftMs": 0, "seq": seq, "born": born,
 		})
 		select {
 		case <-time.After(heartbeat):
+		case <-s.changed:
 		case <-s.done.Done():
 		}
 	}
 }
 
+// drain reports to the store that the server is leaving. It continues serving.
+func (s *server) drain() {
+	s.leaving.Store(true)
+	s.changed <- struct{}{}
+	s.rec.printf("server %s of %s, version %s, reports draining", s.id, s.service, s.version)
+}
+
 // end stops the server at once, and removes its entry.
 func (s *server) end() {
 	s.stop()
@@ -114,6 +132,10 @@
 	h.Set("Keep-Alive", "timeout=10")
 	if r.URL.Path == "/health" {
 		h.Set("X-Goldcreststand-Instance-Id", s.id)
+		if s.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		w.WriteHeader(http.StatusOK)
 		return
 	}
@@ -150,6 +172,8 @@
 	body := "done " + id + "\n"
 	h.Set("X-Goldcreststand-Response-Signature", "sig."+id)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(http.StatusOK)
+	if strings.HasPrefix(r.URL.Path, s.failPrefix) && rand.Float64() < s.failShare {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	_, _ = io.WriteString(w, body)
 }
--- a/review/standin/silent.go
+++ b/review/standin/silent.go
@@ -8,13 +8,13 @@
 )
 
 // startServers starts servers of a service, in turn in the zones.
-func startServers(d *deployment, st *store, rs *runs, service, version string, group, from, n, slots int, work time.Duration) ([]*server, error) {
+func startServers(d *deployment, st *store, rs *runs, service, version string, group, n, slots int, work time.Duration, failPrefix string) ([]*server, error) {
 	var out []*server
 	for k := range n {
 		z := k % len(zones)
 		s, err := startServer(d.rec, rs, st, &server{
-			id: fmt.Sprintf("i-%s-%s-%02d", service, version, from+k), service: service, version: version, zone: zones[z],
-			address: d.addr(zoneIP(z, group, 1+from+k/len(zones)), "server"), slots: slots, work: work,
+			id: fmt.Sprintf("i-%s-%s-%02d", service, version, k), service: service, version: version, zone: zones[z],
+			address: d.addr(zoneIP(z, group, 1+k/len(zones)), "server"), slots: slots, work: work, failShare: failShare, failPrefix: failPrefix,
 		})
 		if err != nil {
 			return nil, err
@@ -33,7 +33,7 @@
 	rs := newRuns()
 	const a, b = "huvo11a", "wuno96b"
 	for k, s := range []string{a, b} {
-		if _, err := startServers(d, st, rs, s, "v1", 64+k, 0, 8, 3, 40*time.Millisecond); err != nil {
+		if _, err := startServers(d, st, rs, s, "v1", 64+k, 8, 3, 40*time.Millisecond, none); err != nil {
 			return false, err
 		}
 	}
