--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 	"silent-connections": silentConnections,
 	"lost-answer":        lostAnswer,
 	"next-order":         nextOrder,
+	"large-bodies":       largeBodies,
 }
 
 func main() {
--- a/review/standin/requester.go
+++ b/review/standin/requester.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 )
@@ -18,9 +19,13 @@
 	// status is 0 if the connection ended without an answer.
 	status int
 	signed bool
-	err    error
+	// kept reports that the connection was used before, timedOut that the requester gave up.
+	kept, timedOut bool
+	err            error
 }
 
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
 // requesters sends requests at a steady rate to each instance, and keeps what was answered.
 type requesters struct {
 	d      *deployment
@@ -51,14 +56,15 @@
 }
 
 func (q *requesters) one(i *instance, method, prefix string, limit time.Duration) {
-	a := answer{id: fmt.Sprintf("%016x", rand.Uint64()), route: prefix, instance: i.name}
+	a := answer{id: newID(), route: prefix, instance: i.name}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	var body io.Reader
 	if method == http.MethodPost {
 		body = bytes.NewReader(make([]byte, 300))
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+q.d.addr(i.ip, "front")+prefix+"2f", body)
+	trace := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { a.kept = c.Reused }})
+	r, err := http.NewRequestWithContext(trace, method, "http://"+q.d.addr(i.ip, "front")+prefix+"2f", body)
 	if err != nil {
 		panic(err)
 	}
@@ -74,7 +80,7 @@
 		_, err = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
 	}
-	a.got, a.err = time.Now(), err
+	a.got, a.err, a.timedOut = time.Now(), err, ctx.Err() != nil
 	q.d.rec.printf("request %s on %s sent to %s at %.3f: status %d, signed %v, error %v", a.id, prefix, i.name, a.sent.Sub(q.d.rec.start).Seconds(), a.status, a.signed, err)
 	q.mu.Lock()
 	defer q.mu.Unlock()
