--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Moves a route to another service just after the open connections to the store went silent. TROUBLE=0: they don't.
+# Loses the answer to the write that completes a good rollout. TROUBLE=0: the write is answered.
 cd "$(dirname "$0")/../.." || exit 2
-exec review/bin/standin silent-connections "$PWD" "$PWD/review/2"
+exec review/bin/standin lost-answer "$PWD" "$PWD/review/2"
