relay, feed: bound the time for which an unanswered watch goes unnoticed

Cause: a watch that is sent while the store is silent is never answered, and its connection stays alive. In fleets of up to 32 instances all watch and none polls another one before it has noticed an outage, and all had sent their watches at the same moment.

Ruled out: dead connections (keep-alive probes are answered), and a change that is read but not applied (the log of the change follows the list at once).

Change: watches are short and end in turn, so that one watch of each kind ends each second in the whole fleet; a reply that is 600 ms late means that the watch hangs. The instance then lists all kinds again and reports it to the other watchers, which do the same. Fleets of every size have two watchers in each failure domain. A watch that ends without changes does not wake the instances that poll.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -11,21 +11,14 @@
 )
 
 const (
-	// smallFleetSize is the number of instances up to which all watch the store. In such a fleet, the
-	// store calls that fewer watchers save cost as much in requests between instances and traffic between
-	// domains.
-	smallFleetSize = 32
 	// watchersPerDomain is the number of watchers in each failure domain. With two, the loss of one causes
 	// no traffic between domains.
 	watchersPerDomain = 2
 )
 
-// Watchers returns the instances that watch the store: all in a small fleet, else those with the fastest
-// links in each failure domain, since they pass the changes on.
+// Watchers returns the instances that watch the store: those with the fastest links in each failure domain,
+// since they pass the changes on.
 func Watchers(members []ring.Member) []ring.Member {
-	if len(members) <= smallFleetSize {
-		return members
-	}
 	order := slices.Clone(members)
 	slices.SortFunc(order, func(a, b ring.Member) int {
 		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(b.LinkCapacity, a.LinkCapacity), cmp.Compare(a.ID, b.ID))
--- a/core/relay/subscription.go
+++ b/core/relay/subscription.go
@@ -48,8 +48,11 @@
 type Subscription struct {
 	self      ring.Member
 	startedAt time.Time
-	// watcher says that this instance is one of those that watch the store, and smallFleet that all are.
-	watcher, smallFleet bool
+	// watcher says that this instance is one of those that watch the store.
+	watcher bool
+	// turn is the position among the watchers or, for other instances, among all members, since all of these
+	// watch the store when no source replies.
+	turn Turn
 	// sources are the other watchers, starting with those of the instance's own failure domain.
 	sources []netip.AddrPort
 	// backoffUntil holds the time until which a source is not polled.
@@ -74,12 +77,15 @@
 // SetMembers sets the list of members. An instance that is not listed yet is no watcher.
 func (s *Subscription) SetMembers(members []ring.Member, now time.Time) {
 	wasWatcher := s.watcher
-	s.watcher, s.smallFleet = false, len(members) <= smallFleetSize
+	s.watcher = false
+	s.turn = Turn{Index: slices.IndexFunc(members, s.isSelf), Of: len(members)}
 	var local, remote []netip.AddrPort
-	for _, m := range Watchers(members) {
+	watchers := Watchers(members)
+	for i, m := range watchers {
 		switch {
-		case m.ID == s.self.ID:
+		case s.isSelf(m):
 			s.watcher = true
+			s.turn = Turn{Index: i, Of: len(watchers)}
 		case m.Domain == s.self.Domain:
 			local = append(local, m.Peer)
 		default:
@@ -92,7 +98,7 @@
 	}
 	if !s.membersKnown {
 		s.membersKnown = true
-		s.initiallyListed = slices.ContainsFunc(members, func(m ring.Member) bool { return m.ID == s.self.ID })
+		s.initiallyListed = slices.ContainsFunc(members, s.isSelf)
 	}
 	if wasWatcher && !s.watcher {
 		s.upToDateAt, s.lastReply = now, now
@@ -100,11 +106,24 @@
 	s.sources = slices.Concat(local, remote)
 }
 
+func (s *Subscription) isSelf(m ring.Member) bool { return m.ID == s.self.ID }
+
+// Turn returns the position of this instance among those that watch the store.
+func (s *Subscription) Turn() Turn { return s.turn }
+
 // sourceHash is the sort key of a source. It differs between instances.
 func (s *Subscription) sourceHash(a netip.AddrPort) uint64 {
 	return xxhash.Sum64String(string(s.self.ID) + "\x00" + a.String())
 }
 
+// OtherWatchers returns the other watchers if this instance is one, too.
+func (s *Subscription) OtherWatchers() []netip.AddrPort {
+	if !s.watcher {
+		return nil
+	}
+	return s.sources
+}
+
 // NextSource returns the instance to poll next, and false when all sources are unknown or in backoff.
 func (s *Subscription) NextSource(now time.Time) (netip.AddrPort, bool) {
 	var usable []netip.AddrPort
@@ -149,11 +168,6 @@
 // UpToDate returns the latest time at which a source was up to date with the store, or zero.
 func (s *Subscription) UpToDate() time.Time { return s.upToDateAt }
 
-// PollsPeers reports whether the instance polls others also while the store replies to it. Watchers in a
-// large fleet do: they cannot notice that the store stopped sending changes, and other instances depend on
-// them.
-func (s *Subscription) PollsPeers() bool { return !s.watcher || !s.smallFleet }
-
 // WatchesStore reports whether the instance watches the store itself.
 func (s *Subscription) WatchesStore(now time.Time) bool {
 	if s.watcher {
@@ -161,9 +175,6 @@
 		return true
 	}
 	switch {
-	case s.smallFleet && s.membersKnown && now.Sub(s.startedAt) >= joinTimeout:
-		// The others do not poll each other, so all sources may be out of date.
-		return true
 	case s.needsFallback(now):
 		if s.fallbackSince.IsZero() {
 			s.fallbackSince = now
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -50,6 +50,11 @@
 	AsOf ident.Revision
 }
 
+// Empty reports whether the batch has no changes.
+func (b *Batch[T]) Empty() bool {
+	return !b.Complete && len(b.Objects)+len(b.Removed)+len(b.Invalid) == 0
+}
+
 // RemoveObject removes all entries of the object from the batch, because a newer one follows.
 func (b *Batch[T]) RemoveObject(name string) {
 	b.Objects = slices.DeleteFunc(b.Objects, func(o Object[T]) bool { return o.Name == name })
--- a/goldcreststand/internal/cmd/instance.go
+++ b/goldcreststand/internal/cmd/instance.go
@@ -111,6 +111,10 @@
 		inst.mesh.Poll(a)
 	case hub.WatchKinds:
 		inst.kinds.setWatched(a)
+	case hub.RestartWatches:
+		inst.kinds.shared.RestartWatches()
+	case hub.ReportHang:
+		inst.mesh.ReportHang(a)
 	}
 }
 
--- a/goldcreststand/internal/cmd/kinds.go
+++ b/goldcreststand/internal/cmd/kinds.go
@@ -27,10 +27,10 @@
 
 // objectKind is one kind of object in the store.
 type objectKind interface {
-	revision() ident.Revision
+	changedAt() ident.Revision
 	export(from ident.Revision) (json.RawMessage, ident.Revision, error)
 	decode(raw json.RawMessage) (hub.Event, error)
-	follower(k hub.Kind, p feed.Poster, breaker *feed.Breaker, enabled *feed.Switch, clock clockwork.Clock) runner
+	follower(k hub.Kind, p feed.Poster, shared *feed.Shared, enabled *feed.Switch, clock clockwork.Clock) runner
 }
 
 // typedKind is an object kind whose objects have type T.
@@ -40,7 +40,7 @@
 	pollDelay  time.Duration
 }
 
-func (t typedKind[T]) revision() ident.Revision { return t.collection.Revision() }
+func (t typedKind[T]) changedAt() ident.Revision { return t.collection.ChangedAt() }
 
 func (t typedKind[T]) export(from ident.Revision) (json.RawMessage, ident.Revision, error) {
 	return t.collection.Export(from)
@@ -54,8 +54,8 @@
 	return t.event(b), nil
 }
 
-func (t typedKind[T]) follower(k hub.Kind, p feed.Poster, breaker *feed.Breaker, enabled *feed.Switch, clock clockwork.Clock) runner {
-	return feed.New(k, t.collection, t.event, p, breaker, enabled, clock, t.pollDelay)
+func (t typedKind[T]) follower(k hub.Kind, p feed.Poster, shared *feed.Shared, enabled *feed.Switch, clock clockwork.Clock) runner {
+	return feed.New(k, t.collection, t.event, p, shared, enabled, clock, t.pollDelay)
 }
 
 // kinds holds all object kinds that control follows.
@@ -63,13 +63,14 @@
 	changes  *site.Notifier
 	all      map[hub.Kind]objectKind
 	switches map[hub.Kind]*feed.Switch
+	shared   *feed.Shared
 }
 
 var _ mesh.Replicas = (*kinds)(nil)
 
 func newKinds(c *site.Client, clock clockwork.Clock) *kinds {
 	n := site.NewNotifier()
-	ks := &kinds{changes: n, switches: make(map[hub.Kind]*feed.Switch)}
+	ks := &kinds{changes: n, switches: make(map[hub.Kind]*feed.Switch), shared: feed.NewShared(clock)}
 	for _, k := range hub.KindValues() {
 		ks.switches[k] = feed.NewSwitch()
 	}
@@ -93,8 +94,8 @@
 	return ks
 }
 
-// Revision returns the latest known revision of the objects of a kind.
-func (ks *kinds) Revision(k hub.Kind) ident.Revision { return ks.all[k].revision() }
+// ChangedAt returns the revision as of which the objects of a kind last changed.
+func (ks *kinds) ChangedAt(k hub.Kind) ident.Revision { return ks.all[k].changedAt() }
 
 // NextChange returns a channel that is closed when the objects of any kind change.
 func (ks *kinds) NextChange() <-chan struct{} { return ks.changes.NextChange() }
@@ -110,8 +111,9 @@
 	return ks.all[k].decode(raw)
 }
 
-// setWatched enables the followers of the action's kinds and disables the others.
+// setWatched enables the followers of the action's kinds, disables the others and sets the times of their watches.
 func (ks *kinds) setWatched(a hub.WatchKinds) {
+	ks.shared.SetTurn(a.Turn)
 	for k, s := range ks.switches {
 		s.Set(a.Kinds[k])
 	}
@@ -119,10 +121,9 @@
 
 // followers returns the followers of the store, one per kind.
 func (ks *kinds) followers(p feed.Poster, clock clockwork.Clock) []runner {
-	breaker := feed.NewBreaker(clock)
 	out := make([]runner, 0, len(ks.all))
 	for _, k := range hub.KindValues() {
-		out = append(out, ks.all[k].follower(k, p, breaker, ks.switches[k], clock))
+		out = append(out, ks.all[k].follower(k, p, ks.shared, ks.switches[k], clock))
 	}
 	return out
 }
--- a/goldcreststand/internal/feed/watcher.go
+++ b/goldcreststand/internal/feed/watcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -14,16 +15,13 @@
 	"goldcreststand.example/lib/guard"
 )
 
-// watchWait is the maximum time for which a watch waits; the store allows 30 s. Long waits reduce the number of
-// calls, each of which has a cost.
-const watchWait = 25 * time.Second
-
 // Source reads the objects of one kind.
 type Source[T any] interface {
 	// List returns all current objects of the store.
 	List(ctx context.Context) (store.Batch[T], error)
 	// Watch returns the changes after the revision and waits up to the given time for one. The error has the class
-	// store.ErrExpired when the store no longer has these changes.
+	// store.ErrExpired when the store no longer has these changes, and wraps context.DeadlineExceeded when it did not
+	// reply in time.
 	Watch(ctx context.Context, from ident.Revision, wait time.Duration) (store.Batch[T], error)
 }
 
@@ -38,7 +36,7 @@
 	source  Source[T]
 	event   func(store.Batch[T]) hub.Event
 	poster  Poster
-	breaker *Breaker
+	shared  *Shared
 	enabled *Switch
 	clock   clockwork.Clock
 	// minInterval is the delay before each watch. Changes in quick succession arrive with one call.
@@ -50,9 +48,9 @@
 // New returns a watcher that has not started. It calls the store while the switch is on, and posts the events
 // that event makes of the batches.
 func New[T any](
-	k hub.Kind, s Source[T], event func(store.Batch[T]) hub.Event, p Poster, b *Breaker, enabled *Switch, clock clockwork.Clock, minInterval time.Duration,
+	k hub.Kind, s Source[T], event func(store.Batch[T]) hub.Event, p Poster, sh *Shared, enabled *Switch, clock clockwork.Clock, minInterval time.Duration,
 ) *Watcher[T] {
-	return &Watcher[T]{kind: k, source: s, event: event, poster: p, breaker: b, enabled: enabled, clock: clock, minInterval: minInterval, done: make(chan struct{})}
+	return &Watcher[T]{kind: k, source: s, event: event, poster: p, shared: sh, enabled: enabled, clock: clock, minInterval: minInterval, done: make(chan struct{})}
 }
 
 // Done is closed when Run has returned.
@@ -74,7 +72,7 @@
 // listAndWatch lists the objects, then watches them until a call fails or the switch is turned off. A batch that
 // was read is posted even if the switch was turned off meanwhile, because the source does not return it again.
 func (w *Watcher[T]) listAndWatch(onCtx, ctx context.Context) {
-	w.breaker.Wait(onCtx)
+	w.shared.Wait(onCtx)
 	b, err := read(func() (store.Batch[T], error) { return w.source.List(onCtx) })
 	if err != nil {
 		w.reportFailure(onCtx, err)
@@ -87,21 +85,39 @@
 // watch waits for changes until a watch fails or the context ends. After a failed watch only a new list shows
 // which changes were missed.
 func (w *Watcher[T]) watch(onCtx, ctx context.Context, from ident.Revision) {
+	changed := true
 	for onCtx.Err() == nil {
 		w.pause(onCtx, w.minInterval)
-		b, err := read(func() (store.Batch[T], error) { return w.source.Watch(onCtx, from, watchWait) })
+		b, err := w.watchOnce(onCtx, from, w.shared.watchTime(w.kind, changed))
 		switch {
-		case store.ErrExpired.Has(err):
+		case store.ErrExpired.Has(err), errors.Is(err, errRestarted):
 			return
 		case err != nil:
 			w.reportFailure(onCtx, err)
 			return
 		}
-		from = b.AsOf
+		from, changed = b.AsOf, !b.Empty()
 		w.postBatch(ctx, b)
 	}
 }
 
+// watchOnce makes one watch. When the watch of any kind hangs, those of all kinds end; it then fails with errRestarted.
+func (w *Watcher[T]) watchOnce(ctx context.Context, from ident.Revision, wait time.Duration) (store.Batch[T], error) {
+	watchCtx, stop := w.shared.watchContext(ctx)
+	defer stop()
+	b, err := read(func() (store.Batch[T], error) { return w.source.Watch(watchCtx, from, wait) })
+	switch {
+	case err == nil || ctx.Err() != nil:
+		return b, err
+	case watchCtx.Err() != nil:
+		return b, errRestarted
+	case errors.Is(err, context.DeadlineExceeded):
+		w.shared.RestartWatches()
+		_ = w.poster.Post(ctx, hub.WatchHung{Kind: w.kind})
+	}
+	return b, err
+}
+
 // read calls a method of the source. A reply on which the decoder panics counts as a failed call.
 func read[T any](call func() (store.Batch[T], error)) (b store.Batch[T], err error) {
 	if failure := guard.Call(func() { b, err = call() }); failure != nil {
@@ -112,7 +128,7 @@
 
 // postBatch posts the batch, after StoreAvailable if the store was unavailable.
 func (w *Watcher[T]) postBatch(ctx context.Context, b store.Batch[T]) {
-	w.breaker.RecordSuccess()
+	w.shared.RecordSuccess()
 	if w.unavailable {
 		w.unavailable = false
 		_ = w.poster.Post(ctx, hub.StoreAvailable{Kind: w.kind})
@@ -128,7 +144,7 @@
 	}
 	w.unavailable = true
 	_ = w.poster.Post(ctx, hub.StoreUnavailable{Kind: w.kind, Err: err})
-	w.breaker.RecordFailure()
+	w.shared.RecordFailure()
 }
 
 func (w *Watcher[T]) pause(ctx context.Context, d time.Duration) {
--- a/goldcreststand/internal/hub/hub_test.go
+++ b/goldcreststand/internal/hub/hub_test.go
@@ -12,6 +12,7 @@
 
 	"goldcreststand.example/core/canary"
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/relay"
 	"goldcreststand.example/core/ring"
 	"goldcreststand.example/core/roster"
 	"goldcreststand.example/core/rules"
@@ -385,3 +386,21 @@
 	require.Equal(t, []Action{DeregisterMember{ID: "i1"}}, h.apply(Shutdown{}))
 	require.Empty(t, actionsOf[RegisterMember](h.wait(2*registerInterval)), "an instance that shuts down writes its entry")
 }
+
+// Guards against watches that end at the same time on all instances, because control does not pass the turn on.
+func TestWatchesFollowTheTurn(t *testing.T) {
+	h := newUnjoinedHarness()
+	h.join("i1")
+	actions := h.join("i0", "i1")
+	require.Equal(t, relay.Turn{Index: 1, Of: 2}, actionsOf[WatchKinds](actions)[0].Turn)
+	require.Empty(t, actionsOf[WatchKinds](h.join("i0", "i1")))
+}
+
+// Guards against instances that each have to find for themselves that the store does not answer the watches which were sent
+// while it was silent.
+func TestHungWatchIsReported(t *testing.T) {
+	h := newUnjoinedHarness()
+	h.join("i0", "i1", "i2")
+	require.Equal(t, []Action{ReportHang{To: peerOf("i0")}}, h.apply(WatchHung{Kind: KindConfig}), "i2 is no watcher")
+	require.Equal(t, []Action{RestartWatches{}}, h.apply(HangReported{Sender: "i0"}))
+}
--- a/goldcreststand/internal/hub/poll.go
+++ b/goldcreststand/internal/hub/poll.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/relay"
 )
 
 const (
@@ -21,8 +22,12 @@
 )
 
 type (
-	// WatchKinds tells the adapter to watch exactly these kinds in the store.
-	WatchKinds struct{ Kinds map[Kind]bool }
+	// WatchKinds tells the adapter to watch exactly these kinds in the store, with watches that end in turn with
+	// those of other instances.
+	WatchKinds struct {
+		Kinds map[Kind]bool
+		Turn  relay.Turn
+	}
 
 	// PollPeer polls another instance for changes after the known revisions and posts PollCompleted.
 	PollPeer struct {
@@ -34,8 +39,46 @@
 	}
 )
 
-func (WatchKinds) action() {}
-func (PollPeer) action()   {}
+type (
+	// RestartWatches ends all watches, after which the objects are listed again.
+	RestartWatches struct{}
+
+	// ReportHang tells another instance that a watch of this one hung.
+	ReportHang struct{ To netip.AddrPort }
+)
+
+func (WatchKinds) action()     {}
+func (PollPeer) action()       {}
+func (RestartWatches) action() {}
+func (ReportHang) action()     {}
+
+type (
+	// WatchHung reports that the store did not answer a watch of this instance.
+	WatchHung struct{ Kind Kind }
+
+	// HangReported reports that the store did not answer a watch of another instance.
+	HangReported struct{ Sender ident.InstanceID }
+)
+
+var (
+	_ Event = WatchHung{}
+	_ Event = HangReported{}
+)
+
+func (e WatchHung) apply(st *state) []Action {
+	others := st.subscription.OtherWatchers()
+	st.logChange("watch was not answered", logrus.Fields{"kind": e.Kind.String(), "told": len(others)})
+	out := make([]Action, 0, len(others))
+	for _, to := range others {
+		out = append(out, ReportHang{To: to})
+	}
+	return out
+}
+
+func (e HangReported) apply(st *state) []Action {
+	st.logChange("watches restarted, as one of another instance was not answered", logrus.Fields{"member": e.Sender})
+	return []Action{RestartWatches{}}
+}
 
 // PollCompleted holds the result of polling another instance. Updates is valid even when the rest of the reply
 // could not be decoded.
@@ -103,6 +146,7 @@
 			kinds[k] = true
 		}
 	}
+	turn := st.subscription.Turn()
 	if !maps.Equal(kinds, st.watched) {
 		st.logChange("watched kinds changed", logrus.Fields{
 			"kinds": len(kinds), "of": len(KindValues()), "age": st.freshness().Age.Milliseconds(), "members": len(st.members),
@@ -113,9 +157,12 @@
 				delete(st.unavailableSince, k)
 			}
 		}
-		out = append(out, WatchKinds{Kinds: kinds})
+		out = append(out, WatchKinds{Kinds: kinds, Turn: turn})
+	} else if turn != st.turn {
+		out = append(out, WatchKinds{Kinds: kinds, Turn: turn})
 	}
-	if st.polling || !st.subscription.PollsPeers() && !st.storeUnavailable() {
+	st.turn = turn
+	if st.polling {
 		return out
 	}
 	if to, ok := st.nextSource(); ok {
@@ -130,20 +177,6 @@
 	return out
 }
 
-// storeUnavailable reports whether the store has not replied about some kind for at least peerFallbackDelay.
-func (st *state) storeUnavailable() bool {
-	for _, k := range KindValues() {
-		since, unavailable := st.unavailableSince[k]
-		if !unavailable && !st.loaded[k] {
-			since, unavailable = st.started, true
-		}
-		if unavailable && st.now.Sub(since) >= peerFallbackDelay {
-			return true
-		}
-	}
-	return false
-}
-
 // nextSource returns the instance to poll next. While no member is known, it cycles through the instance that
 // last pinged this one and the seed peers.
 func (st *state) nextSource() (netip.AddrPort, bool) {
--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -124,6 +124,8 @@
 	subscription *relay.Subscription
 	// watched are the kinds that this instance watches in the store.
 	watched map[Kind]bool
+	// turn is the position among the instances that watch the store.
+	turn relay.Turn
 	// polling is set while a poll of another instance is in progress. failedSource is the instance whose last poll
 	// failed.
 	polling      bool
--- a/goldcreststand/internal/hub/storeevents.go
+++ b/goldcreststand/internal/hub/storeevents.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -265,6 +266,9 @@
 	for _, n := range b.Removed {
 		delete(evacuated, ident.DomainName(n))
 	}
+	if maps.Equal(evacuated, st.evacuated) {
+		return nil
+	}
 	for d := range evacuated {
 		if !st.evacuated[d] {
 			st.logChange("failure domain out of service", logrus.Fields{"domain": d, "revision": b.AsOf})
@@ -304,9 +308,9 @@
 	slices.SortFunc(members, func(a, b ring.Member) int { return cmp.Compare(a.ID, b.ID) })
 	if !slices.Equal(members, st.members) {
 		st.logChange("members changed", logrus.Fields{"members": len(members), "before": len(st.members), "revision": b.AsOf})
+		st.members, st.changed = members, true
+		clear(st.sendsToCold)
 	}
-	st.members, st.changed = members, true
-	clear(st.sendsToCold)
 	st.subscription.SetMembers(members, st.now)
 	return append(st.register(), st.chooseSources()...)
 }
--- a/goldcreststand/internal/mesh/excerptcache.go
+++ b/goldcreststand/internal/mesh/excerptcache.go
@@ -11,8 +11,9 @@
 
 // Replicas exports and imports the objects of a kind in the store's encoding. It is safe for concurrent use.
 type Replicas interface {
-	// Revision returns the store revision of the local copy of a kind, or 0 before the first read.
-	Revision(k hub.Kind) ident.Revision
+	// ChangedAt returns the store revision as of which the objects of a kind last changed, or 0 before the first
+	// read.
+	ChangedAt(k hub.Kind) ident.Revision
 	// NextChange returns a channel that is closed when any kind changes.
 	NextChange() <-chan struct{}
 	// Export returns the changes after the revision, or all objects, and the revision that the result leads to.
@@ -44,13 +45,13 @@
 
 // get returns the excerpt after the revision, and whether there are newer changes.
 func (c *excerptCache) get(k hub.Kind, from ident.Revision) (wire.Compressed, bool, error) {
-	known := c.replicas.Revision(k)
-	if known <= from {
+	changed := c.replicas.ChangedAt(k)
+	if changed <= from {
 		return nil, false, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e := c.cached[k]; e.from == from && e.to >= known {
+	if e := c.cached[k]; e.from == from && e.to >= changed {
 		return e.content, true, nil
 	}
 	raw, to, err := c.replicas.Export(k, from)
--- a/goldcreststand/internal/mesh/mesh.go
+++ b/goldcreststand/internal/mesh/mesh.go
@@ -22,6 +22,7 @@
 	methodAlive  = "alive"
 	methodCount  = "count"
 	methodFollow = "follow"
+	methodHang   = "hang"
 )
 
 // maxCalls limits the concurrent calls to other instances, and the queued ones.
@@ -67,6 +68,7 @@
 	p.Register(methodAlive, peer.Method(m.handlePing))
 	p.Register(methodCount, peer.Method(m.handleReport))
 	p.Register(methodFollow, peer.Method(m.handlePoll))
+	p.Register(methodHang, peer.Method(m.handleHang))
 }
 
 // Run makes the queued calls until the context ends.
@@ -103,6 +105,24 @@
 	})
 }
 
+// ReportHang tells another instance that the store did not answer a watch of this one.
+func (m *Mesh) ReportHang(a hub.ReportHang) {
+	m.pool.TrySubmit(func(ctx context.Context) {
+		var out wire.Alive
+		if err := m.link.Call(ctx, a.To, methodHang, m.pingMessage(), &out); err != nil {
+			m.log.StateChange("mesh: reporting a hung watch failed", logrus.Fields{"to": a.To.String(), "error": err.Error()})
+		}
+	})
+}
+
+// handleHang passes the report of another instance to the control goroutine.
+func (m *Mesh) handleHang(ctx context.Context, r *wire.Alive) (*wire.Alive, error) {
+	if err := m.poster.Post(ctx, hub.HangReported{Sender: r.Sender}); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return m.pingMessage(), nil
+}
+
 // handlePing answers a ping and posts the sender's address, which an instance without a list of members can poll.
 func (m *Mesh) handlePing(ctx context.Context, r *wire.Alive) (*wire.Alive, error) {
 	if err := m.poster.Post(ctx, hub.PingReceived{Peer: r.Peer}); err != nil {
@@ -111,7 +131,7 @@
 	return m.pingMessage(), nil
 }
 
-// pingMessage returns the message used as a ping and as its reply.
+// pingMessage returns the message that names this instance.
 func (m *Mesh) pingMessage() *wire.Alive { return &wire.Alive{Sender: m.self.ID, Peer: m.self.Peer} }
 
 // handleReport passes the counts of another instance to the control goroutine and replies with its decision.
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -37,8 +37,9 @@
 	return nil
 }
 
-// Alive is the parameter and the result of the method alive: it shows that the
-// sender is alive.
+// Alive is the parameter and the result of the methods alive and hang: it shows
+// that the sender is alive, and with hang that the store did not answer a watch of
+// it.
 type Alive struct {
 	// Address of the sender for other instances.
 	Peer netip.AddrPort `json:"peer"`
