canary, hub: a completed rollout ends the withholding of calls

Cause: near the deadline the deciding instance withheld its calls from the version while the write of the rollout's end had no known outcome, and told the others. The write was done, the old servers stopped, and nothing reset the flag: Phase returned reverted although the store held done.

Ruled out: unlisted or unhealthy servers (listed and idle), and a rollback in the store (it held completed).

Change: Decide tells a bad version from one whose time is over, and only a bad one loses its calls before the store holds the rollback. The end of the rollout in the store resets the flag, and a rejection after it has no effect, which also covers a deciding instance that was stopped while another one completed the rollout.

Tests, all failed before: hub.TestUnansweredCompletionKeepsVersion, TestCompletionEndsRejection (both cases), TestCompletedVersionIsNotReportedAsBad.

--- a/core/canary/coordinatedrollout.go
+++ b/core/canary/coordinatedrollout.go
@@ -69,7 +69,7 @@
 	self  ident.InstanceID
 	order *RolloutOrder
 	phase Phase
-	// withheld says that this instance knows of a rollback that is not in the store yet.
+	// withheld says that this instance knows of a bad version whose rollback is not in the store yet.
 	withheld bool
 	// orderedAt is when the order became known, phaseStart when the phase did, and lastOverload when the
 	// new version's servers last had too little capacity.
@@ -118,6 +118,10 @@
 
 func (t *CoordinatedRollout) enterPhase(p Phase, now time.Time) {
 	t.phase, t.phaseStart = p, now
+	if p == PhaseDone {
+		// The old servers stop, so that only the new ones are left.
+		t.withheld = false
+	}
 	t.evidence.resetStageCounts()
 }
 
@@ -219,23 +223,34 @@
 	t.evidence.addReport("", counts, nil, t.phase >= PhaseWhole)
 }
 
-// WithholdCalls keeps this instance's calls from the new version. The deciding instance requests it before
-// the rollback is in the store.
-func (t *CoordinatedRollout) WithholdCalls() { t.withheld = true }
+// WithholdCalls keeps this instance's calls from a bad version before its rollback is in the store. It has no
+// effect on a completed rollout.
+func (t *CoordinatedRollout) WithholdCalls() { t.withheld = t.phase != PhaseDone }
+
+// Decision is the phase that a rollout should have.
+type Decision struct {
+	Phase Phase
+	// Reason is the reason for a change of the phase.
+	Reason string
+	// Bad says that the new version must get no more calls, even before the store holds the phase.
+	Bad bool
+}
 
-// Decide returns the phase that the rollout should have, and the reason for a change. servers is the
-// number of the new version's servers that accept calls, and utilization their mean utilization, as a part
-// of the calls that they handle at full speed.
-func (t *CoordinatedRollout) Decide(servers int, utilization float64, now time.Time) (Phase, string) {
+// Decide returns the phase that the rollout should have. servers is the number of the new version's servers that accept
+// calls, and utilization their mean utilization, as a part of the calls that they handle at full speed.
+func (t *CoordinatedRollout) Decide(servers int, utilization float64, now time.Time) Decision {
 	if !t.Active() {
-		return t.phase, ""
+		return Decision{Phase: t.phase}
 	}
 	t.addPeriod()
 	if bad, why := t.newIsWorse(); bad {
-		return PhaseReverted, why
+		return Decision{Phase: PhaseReverted, Reason: why, Bad: true}
 	}
 	if elapsed := t.elapsedFraction(now); elapsed >= rollbackFraction {
-		return PhaseReverted, fmt.Sprintf("deadline is near in phase %s after %d calls, with %.2f of the servers' capacity used", t.phase, t.newVersionCalls(), utilization)
+		// The old servers may have stopped by an earlier write that was not answered, so that the version keeps its calls.
+		return Decision{Phase: PhaseReverted, Reason: fmt.Sprintf(
+			"deadline is near in phase %s after %d calls, with %.2f of the servers' capacity used", t.phase, t.newVersionCalls(), utilization,
+		)}
 	}
 	if servers == 0 || t.phase != PhaseTrial && utilization > maxUtilization {
 		t.lastOverload = now
@@ -249,20 +264,20 @@
 }
 
 // advance returns the phase that is due by the time and the calls so far.
-func (t *CoordinatedRollout) advance(now time.Time) (Phase, string) {
+func (t *CoordinatedRollout) advance(now time.Time) Decision {
 	if _, v := t.evidence.strongest(); now.Sub(t.phaseStart) < minPhaseTime || now.Sub(t.lastOverload) < minPhaseTime || v >= math.Log(holdEvidence) {
-		return t.phase, ""
+		return Decision{Phase: t.phase}
 	}
 	elapsed := t.elapsedFraction(now)
 	switch {
 	case t.phase == PhaseTrial && elapsed >= quarterFraction && t.newVersionCalls() >= minTrialCalls:
-		return PhaseQuarter, "trial passed"
+		return Decision{Phase: PhaseQuarter, Reason: "trial passed"}
 	case t.phase == PhaseQuarter && elapsed >= halfFraction, t.phase == PhaseHalf && elapsed >= wholeFraction:
-		return t.phase + 1, "phase passed"
+		return Decision{Phase: t.phase + 1, Reason: "phase passed"}
 	case t.phase == PhaseWhole && elapsed >= doneFraction && now.Sub(t.lastOverload) >= minCapacityTime:
-		return PhaseDone, "all calls are served by the new version"
+		return Decision{Phase: PhaseDone, Reason: "all calls are served by the new version"}
 	}
-	return t.phase, ""
+	return Decision{Phase: t.phase}
 }
 
 // newVersionCalls returns the number of the new version's calls since the order.
--- a/core/canary/coordinatedrollout_test.go
+++ b/core/canary/coordinatedrollout_test.go
@@ -57,7 +57,7 @@
 		for i, t := range w.rollouts {
 			decider.MergeCounts(ident.InstanceID(rune('a'+i)), t.Report())
 		}
-		phase, _ := decider.Decide(18, 0.4, w.now)
+		phase := decider.Decide(18, 0.4, w.now).Phase
 		if phase != decider.Phase() {
 			next := *order
 			next.HasPhase, next.Phase = true, phase
@@ -159,11 +159,12 @@
 		if dips(i) {
 			use = 0.5
 		}
-		phase, _ := rollout.Decide(12, use, w.now)
+		phase := rollout.Decide(12, use, w.now).Phase
 		require.Equal(t, canary.PhaseWhole, phase, "step %d", i)
 	}
 	w.now = w.now.Add(2 * time.Second)
-	phase, why := rollout.Decide(12, 0.9, w.now)
-	require.Equal(t, canary.PhaseReverted, phase)
-	require.Contains(t, why, "capacity")
+	d := rollout.Decide(12, 0.9, w.now)
+	require.Equal(t, canary.PhaseReverted, d.Phase)
+	require.Contains(t, d.Reason, "capacity")
+	require.False(t, d.Bad, "a version without enough capacity is withheld before the store holds the rollback")
 }
--- a/goldcreststand/internal/hub/hub_test.go
+++ b/goldcreststand/internal/hub/hub_test.go
@@ -18,6 +18,7 @@
 	"goldcreststand.example/core/rules"
 	"goldcreststand.example/core/spread"
 	"goldcreststand.example/core/store"
+	"goldcreststand.example/core/table"
 )
 
 const testService ident.ServiceName = "svc"
@@ -404,3 +405,64 @@
 	require.Equal(t, []Action{ReportHang{To: peerOf("i0")}}, h.apply(WatchHung{Kind: KindConfig}), "i2 is no watcher")
 	require.Equal(t, []Action{RestartWatches{}}, h.apply(HangReported{Sender: "i0"}))
 }
+
+// completingHarness returns the state of the deciding instance whose write of the rollout's end was not answered.
+func completingHarness(t *testing.T) *harness {
+	h := newHarness()
+	h.list(true, entry("s1", "v1"))
+	h.pools()
+	h.order(1, "v2", false, canary.PhaseTrial)
+	h.list(false, entry("s2", "v2"))
+	h.order(1, "v2", true, canary.PhaseWhole)
+	writes := actionsOf[WriteProgress](h.wait(14200 * time.Millisecond))
+	require.Len(t, writes, 1)
+	require.Equal(t, canary.PhaseDone, writes[0].Order.Phase)
+	return h
+}
+
+// Guards against a service that gets no calls, because the deadline comes while it is not known whether the end of the
+// rollout was written, after which the old servers stop.
+func TestUnansweredCompletionKeepsVersion(t *testing.T) {
+	h := completingHarness(t)
+	h.wait(1500 * time.Millisecond)
+	_, trial := h.pools()
+	require.Equal(t, []ident.ServerID{"s2"}, trial)
+	h.order(1, "v2", true, canary.PhaseDone)
+	h.unlist("s1")
+	stable, trial := h.pools()
+	require.Empty(t, stable)
+	require.Equal(t, []ident.ServerID{"s2"}, trial)
+}
+
+// Guards against an instance that never sends calls to a version again which it was told is bad, although the rollout was
+// completed and the old servers have stopped.
+func TestCompletionEndsRejection(t *testing.T) {
+	rejected := VersionRejected{Service: testService, Attempt: 1}
+	for name, before := range map[string]bool{"rejected before the end": true, "rejected after the end": false} {
+		t.Run(name, func(t *testing.T) {
+			h := completingHarness(t)
+			if before {
+				h.apply(rejected)
+				_, trial := h.pools()
+				require.Empty(t, trial)
+			}
+			h.order(1, "v2", true, canary.PhaseDone)
+			if !before {
+				h.apply(rejected)
+			}
+			_, trial := h.pools()
+			require.Equal(t, []ident.ServerID{"s2"}, trial)
+		})
+	}
+}
+
+// Guards against a stale instance that tells others to reject a version whose rollout was completed.
+func TestCompletedVersionIsNotReportedAsBad(t *testing.T) {
+	h := completingHarness(t)
+	h.apply(VersionRejected{Service: testService, Attempt: 1})
+	h.order(1, "v2", true, canary.PhaseDone)
+	reply := make(chan bool, 1)
+	report := canary.Report{Status: table.RolloutStatus{Service: testService, Attempt: 1}}
+	h.apply(ReportReceived{Sender: "i2", Service: testService, Report: report, Reply: reply})
+	require.False(t, <-reply)
+}
--- a/goldcreststand/internal/hub/tick.go
+++ b/goldcreststand/internal/hub/tick.go
@@ -223,21 +223,21 @@
 }
 
 // decide requests the write of the rollout's next phase, if it changes. The phase takes effect once it is read
-// back from the store, except that a rejected version stops receiving calls at once.
+// back from the store, except that a bad version stops receiving calls at once.
 func (st *state) decide(s *service) []Action {
 	o := *s.rollout.Order()
-	phase, why := s.rollout.Decide(st.trialServerCount(o), st.trialUtilization(o), st.now)
-	if phase == canary.PhaseReverted && s.rollout.Phase() != phase {
+	d := s.rollout.Decide(st.trialServerCount(o), st.trialUtilization(o), st.now)
+	if d.Bad {
 		s.rollout.WithholdCalls()
 	}
-	if s.writingProgress || o.HasPhase && phase == o.Phase {
+	if s.writingProgress || o.HasPhase && d.Phase == o.Phase {
 		return nil
 	}
 	st.logChange("rollout phase decided", logrus.Fields{
-		"service": o.Service, "version": o.Version, "phase": phase.String(), "reason": why, "age": s.rollout.Age(st.now).Milliseconds(),
+		"service": o.Service, "version": o.Version, "phase": d.Phase.String(), "reason": d.Reason, "age": s.rollout.Age(st.now).Milliseconds(),
 	})
 	s.writingProgress = true
-	o.Phase = phase
+	o.Phase = d.Phase
 	return []Action{WriteProgress{Order: o, Age: s.rollout.Age(st.now)}}
 }
 
