hub: keep a version that was rolled back out of the pools after the next order

Cause: addToPool left the version's servers out only while its order was the current one. With the next order they were servers of a version without an order, which is admitted to the stable pool 3 s after it was first seen.

Ruled out: a rollback that is not applied; no call reached the version between the rollback and the next order.

Change: the version of a rollout that ended with a rollback is kept when its order is replaced or removed, and gets no calls until it is ordered again. The status of the next rollout names it, so that an instance that starts later knows.

Tests, all failed before: hub.TestRolledBackVersionGetsNoCalls (next order, completed one, removed order, new object), TestRollbackIsKnownAfterRestart, TestRollbackIsWritten.

Open: after the order object is deleted, a restarted instance does not know of the rollback.

--- a/core/canary/coordinatedrollout.go
+++ b/core/canary/coordinatedrollout.go
@@ -59,6 +59,8 @@
 	HasPhase bool
 	Phase    Phase
 	Age      time.Duration
+	// RolledBack holds versions of earlier orders whose rollbacks the store records.
+	RolledBack []ident.VersionName
 	// Revision is the revision of the object in the store.
 	Revision ident.Revision
 }
--- a/goldcreststand/internal/hub/hub_test.go
+++ b/goldcreststand/internal/hub/hub_test.go
@@ -466,3 +466,73 @@
 	h.apply(ReportReceived{Sender: "i2", Service: testService, Report: report, Reply: reply})
 	require.False(t, <-reply)
 }
+
+// Guards against calls to a version that was rolled back, once another version is ordered or the order is removed while its
+// servers still run, and for good.
+func TestRolledBackVersionGetsNoCalls(t *testing.T) {
+	tests := []struct {
+		name string
+		next func(h *harness)
+	}{
+		{name: "next order", next: func(h *harness) { h.order(1, "v3", false, canary.PhaseTrial) }},
+		{name: "next order completed", next: func(h *harness) {
+			h.order(1, "v3", true, canary.PhaseDone)
+			h.list(false, entry("s3", "v3"))
+			h.order(1, "v4", false, canary.PhaseTrial)
+		}},
+		{name: "order removed", next: func(h *harness) {
+			h.rev++
+			h.apply(OrdersUpdate{store.Batch[*canary.RolloutOrder]{Removed: []string{string(testService)}, AsOf: h.rev}})
+		}},
+		{name: "new object", next: func(h *harness) { h.order(2, "v3", false, canary.PhaseTrial) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness()
+			h.list(true, entry("s1", "v1"))
+			h.pools()
+			h.list(false, entry("s2", "v2"))
+			h.pools()
+			h.wait(orderWait)
+			h.order(1, "v2", false, canary.PhaseTrial)
+			h.order(1, "v2", true, canary.PhaseReverted)
+			tt.next(h)
+			for range 2 {
+				stable, trial := h.pools()
+				require.NotContains(t, stable, ident.ServerID("s2"))
+				require.NotContains(t, trial, ident.ServerID("s2"))
+				h.wait(2 * orderWait)
+			}
+			h.order(3, "v2", false, canary.PhaseTrial)
+			_, trial := h.pools()
+			require.Equal(t, []ident.ServerID{"s2"}, trial, "ordered again")
+		})
+	}
+}
+
+// Guards against an instance that starts after a rollback, and sends calls to the version because it has not seen it.
+func TestRollbackIsKnownAfterRestart(t *testing.T) {
+	h := newHarness()
+	o := &canary.RolloutOrder{Service: testService, Attempt: 1, Version: "v3", Duration: 16 * time.Second, RolledBack: []ident.VersionName{"v2"}}
+	h.apply(OrdersUpdate{store.Batch[*canary.RolloutOrder]{
+		Complete: true, Objects: []store.Object[*canary.RolloutOrder]{{Name: string(testService), Value: o}},
+	}})
+	h.list(true, entry("s1", "v2"), entry("s2", "v1"), entry("s3", "v3"))
+	for range 2 {
+		stable, trial := h.pools()
+		require.Equal(t, []ident.ServerID{"s2"}, stable)
+		require.Equal(t, []ident.ServerID{"s3"}, trial)
+		h.wait(2 * orderWait)
+	}
+}
+
+// Guards against a rollback that is forgotten with the order, as no instance writes it to the store.
+func TestRollbackIsWritten(t *testing.T) {
+	h := newHarness()
+	h.list(true, entry("s1", "v1"), entry("s2", "v2"))
+	h.order(1, "v2", true, canary.PhaseReverted)
+	h.order(2, "v3", false, canary.PhaseTrial)
+	writes := actionsOf[WriteProgress](h.wait(time.Second))
+	require.Len(t, writes, 1)
+	require.Equal(t, []ident.VersionName{"v2"}, writes[0].Order.RolledBack)
+}
--- a/goldcreststand/internal/hub/snapshot.go
+++ b/goldcreststand/internal/hub/snapshot.go
@@ -59,6 +59,7 @@
 	case onTrial && svc.rollout.Phase() == canary.PhaseReverted:
 	case onTrial:
 		svcSnap.Canary.Add(srv)
+	case slices.Contains(svc.rolledBack, srv.Version):
 	case st.admitted(svc, srv.Version):
 		svcSnap.Stable.Add(srv)
 	}
--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -83,6 +83,8 @@
 	// orderWait is the time for which servers of a version without a rollout order receive no calls, until its
 	// order is read.
 	orderWait = 3 * time.Second
+	// maxRolledBack limits the versions of a service that are remembered as rolled back.
+	maxRolledBack = 16
 )
 
 // state is the whole control state. Only the control goroutine accesses it.
@@ -148,6 +150,9 @@
 	// admittedFrom holds the versions that receive calls without a rollout order, with the time from which on they
 	// do.
 	admittedFrom map[ident.VersionName]time.Time
+	// rolledBack holds the versions that get no calls until they are ordered again, the latest one last. Their servers run
+	// for a while after the rollback.
+	rolledBack []ident.VersionName
 	// writingProgress is set while a write of the rollout's progress is in progress.
 	writingProgress bool
 }
--- a/goldcreststand/internal/hub/storeevents.go
+++ b/goldcreststand/internal/hub/storeevents.go
@@ -214,8 +214,12 @@
 	old, phase := s.rollout.Order(), s.rollout.Phase()
 	replaced := old == nil || old.Attempt != o.Attempt || old.Version != o.Version
 	if replaced {
-		s.makeStable(st.now)
+		s.keepResult(st.now)
 	}
+	for _, v := range o.RolledBack {
+		s.addRolledBack(v)
+	}
+	s.deleteRolledBack(o.Version)
 	s.rollout.SetOrder(o, st.now)
 	if replaced {
 		s.trialLimiter = spread.NewTrialLimiter(canary.TrialShare, trialExtraCalls)
@@ -231,19 +235,38 @@
 	st.changed = true
 }
 
-// makeStable makes the version of a completed rollout the version of the stable servers.
-func (s *service) makeStable(now time.Time) {
-	if o := s.rollout.Order(); o != nil && s.rollout.Phase() == canary.PhaseDone {
+// keepResult keeps the result of a rollout whose order is replaced or removed: the version of a completed one becomes that
+// of the stable servers, and that of one that was rolled back gets no calls.
+func (s *service) keepResult(now time.Time) {
+	o := s.rollout.Order()
+	if o == nil {
+		return
+	}
+	switch s.rollout.Phase() {
+	case canary.PhaseDone:
 		s.admittedFrom = map[ident.VersionName]time.Time{o.Version: now}
+	case canary.PhaseReverted:
+		s.addRolledBack(o.Version)
+	case canary.PhaseTrial, canary.PhaseQuarter, canary.PhaseHalf, canary.PhaseWhole:
 	}
 }
 
+func (s *service) addRolledBack(v ident.VersionName) {
+	s.deleteRolledBack(v)
+	s.rolledBack = append(s.rolledBack, v)
+	s.rolledBack = s.rolledBack[max(0, len(s.rolledBack)-maxRolledBack):]
+}
+
+func (s *service) deleteRolledBack(v ident.VersionName) {
+	s.rolledBack = slices.DeleteFunc(s.rolledBack, func(x ident.VersionName) bool { return x == v })
+}
+
 func (st *state) removeOrder(n ident.ServiceName) {
 	s := st.service(n)
 	if s.rollout.Order() == nil {
 		return
 	}
-	s.makeStable(st.now)
+	s.keepResult(st.now)
 	s.rollout.SetOrder(nil, st.now)
 	st.changed = true
 	st.logChange("rollout order removed", logrus.Fields{"service": n})
--- a/goldcreststand/internal/hub/tick.go
+++ b/goldcreststand/internal/hub/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -237,7 +238,7 @@
 		"service": o.Service, "version": o.Version, "phase": d.Phase.String(), "reason": d.Reason, "age": s.rollout.Age(st.now).Milliseconds(),
 	})
 	s.writingProgress = true
-	o.Phase = d.Phase
+	o.Phase, o.RolledBack = d.Phase, slices.Clone(s.rolledBack)
 	return []Action{WriteProgress{Order: o, Age: s.rollout.Age(st.now)}}
 }
 
