edge, proxy: end a connection after a refusal that names no call

An operator's report: a server wrote an earlier refusal once more on a kept connection, and callers were told that a call had not been executed although it was.

Cause: a refusal needs no request id, since the platform's page shows one without it. A copy that arrives after the status check is then the refusal of the next call. The refusal of a status check has no id at all.

Change: a connection is not used again after a refusal without an id, nor after a status check that was refused. A refusal with an id is told by it. On the own front end, whose protocol has no ids, every refusal ends its connection.

--- a/goldcreststand/internal/edge/conn.go
+++ b/goldcreststand/internal/edge/conn.go
@@ -113,6 +113,8 @@
 		return checkReply{}, errStale
 	}
 	c.readKeepAlive(resp)
+	// A late copy of such a reply would be taken for the refusal of a call.
+	c.unusable = c.unusable || resp.StatusCode != http.StatusOK
 	out := checkReply{
 		status: resp.StatusCode, server: id, notice: d.Notice(resp.StatusCode, resp.Header),
 	}
@@ -218,10 +220,12 @@
 	return nil, errStale
 }
 
-// verify returns an error if the response lacks the request id or the signature that it needs.
+// verify returns an error if the response lacks the request id or the signature that it needs. A refusal needs no id, but
+// one without it ends the connection: a copy of it that arrives late could not be told from the refusal of the next call.
 func (c *conn) verify(out *response) error {
 	switch {
 	case out.notExecuted:
+		c.unusable = c.unusable || out.id == ""
 		return nil
 	case out.id == "":
 		c.unusable = true
--- a/goldcreststand/internal/proxy/conn.go
+++ b/goldcreststand/internal/proxy/conn.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return false
 	}
-	return discardBody(resp) && !resp.Close
+	return discardBody(resp) && !resp.Close && resp.StatusCode != http.StatusServiceUnavailable
 }
 
 // discardBody reads up to maxDiscardedBytes of the body, closes it and reports whether it was read to its end.
--- a/goldcreststand/internal/proxy/forward_test.go
+++ b/goldcreststand/internal/proxy/forward_test.go
@@ -204,3 +204,26 @@
 	}
 	require.Equal(t, 2, b.connections())
 }
+
+// Guards against an earlier refusal that a server writes once more on a kept connection: the next call, which the server
+// executes, must not be reported as not executed, and must not be sent to another server.
+func TestRepeatedRefusalIsNotTheNextResponse(t *testing.T) {
+	var calls atomic.Int32
+	b := newBackend(t, func(string) string {
+		if calls.Add(1) == 1 {
+			return respShed
+		}
+		return respOK
+	})
+	b.repeat = true
+	svc := localServiceFor(b)
+	svc.Servers[0].MaxConns = 1
+	s := newInstance(t, svc)
+	got := request(s, http.MethodPost, "/first", nil)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Contains(t, got.proxy, rejected)
+	got = request(s, http.MethodPost, "/second", nil)
+	require.Equal(t, http.StatusOK, got.status, got.proxy)
+	require.Equal(t, "/second", strings.TrimSpace(got.body))
+	require.Equal(t, 1, b.count("/second"))
+}
--- a/goldcreststand/internal/proxy/harness_test.go
+++ b/goldcreststand/internal/proxy/harness_test.go
@@ -46,6 +46,8 @@
 type backend struct {
 	l      net.Listener
 	script func(path string) string
+	// repeat writes each refusal once more before the next response on its connection.
+	repeat bool
 
 	mu        sync.Mutex
 	executed  map[string]int
@@ -83,6 +85,7 @@
 	defer b.add(-1)
 	defer func() { _ = nc.Close() }()
 	r := bufio.NewReader(nc)
+	refusal := ""
 	for {
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -108,7 +111,10 @@
 		if n := strings.Count(resp, "%"); n > 0 {
 			resp = fmt.Sprintf(resp, req.URL.Path)
 		}
-		_, _ = io.WriteString(nc, resp)
+		_, _ = io.WriteString(nc, refusal+resp)
+		if b.repeat && resp == respShed {
+			refusal = resp
+		}
 		if resp == respClose || strings.Contains(resp, ": 99") || strings.Contains(resp, "chunked") || !strings.Contains(resp, ": ") {
 			return
 		}
--- a/goldcreststand/internal/proxy/try.go
+++ b/goldcreststand/internal/proxy/try.go
@@ -129,7 +129,9 @@
 	case t.call.extraHop:
 		t.postResponse(retry.ResponseReceived{At: now, Try: t.number})
 	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerExecuted) == "?0":
-		t.finish(route.ResultShed, discardBody(resp))
+		_ = resp.Body.Close()
+		// A late copy of the refusal would be taken for that of the next call, so that the connection is not reused.
+		t.finish(route.ResultShed, false)
 		t.call.post(retry.TryShed{At: now, Try: t.number, BodyConsumed: consumed})
 	case retryableStatus(resp.StatusCode):
 		t.postResponse(retry.ErrorResponseReceived{At: now, Try: t.number, BodyConsumed: consumed})
