edge, spread: reject calls that a planned stop may cut off

An operator's report: in a planned stop, requests that came late in the grace were passed on, and cut without an answer at its end.

Cause: a leaving instance accepts calls for half of the grace, whatever their deadlines, and ends at 0.9 of it.

Change: after the first third of that time, a call whose deadline lies behind the end is rejected at once with 503 and Retry-After; it has not been sent to a server, and the connection closes, so that the caller goes to another instance. In the first third every call is accepted, since most end long before their deadlines.

Open: calls of the first third whose servers work for two thirds of the grace; the product's own front end.

--- a/core/spread/snapshot.go
+++ b/core/spread/snapshot.go
@@ -30,6 +30,8 @@
 	Ready bool
 	// ShuttingDown reports that this instance shuts down.
 	ShuttingDown bool
+	// Stop holds the times of the shutdown.
+	Stop Stop
 }
 
 // Service is the part of a snapshot for one service.
--- a/goldcreststand/internal/cmd/instance.go
+++ b/goldcreststand/internal/cmd/instance.go
@@ -188,9 +188,10 @@
 	grace := site.Seconds(inst.settings.Bounds.Grace)
 	inst.log.StateChange("node: leaving", logrus.Fields{"grace": grace.Milliseconds()})
 	start := inst.clock.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(shutdownFraction*float64(grace)))
+	timeout := time.Duration(shutdownFraction * float64(grace))
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if err := inst.loop.Post(ctx, hub.Shutdown{}); err != nil {
+	if err := inst.loop.Post(ctx, hub.Shutdown{Until: start.Add(timeout)}); err != nil {
 		return err
 	}
 	inst.clock.Sleep(time.Duration(drainFraction*float64(grace)) - inst.clock.Since(start))
--- a/goldcreststand/internal/edge/cause_enumer.go
+++ b/goldcreststand/internal/edge/cause_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _causeName = "noneinvalidstartingnoroutetoolargeslowbodynoservercrowdedshedpausedtimeoutbrokenfailedgone"
+const _causeName = "noneinvalidstartingstoppingnoroutetoolargeslowbodynoservercrowdedshedpausedtimeoutbrokenfailedgone"
 
-var _causeIndex = [...]uint8{0, 4, 11, 19, 26, 34, 42, 50, 57, 61, 67, 74, 80, 86, 90}
+var _causeIndex = [...]uint8{0, 4, 11, 19, 27, 34, 42, 50, 58, 65, 69, 75, 82, 88, 94, 98}
 
-const _causeLowerName = "noneinvalidstartingnoroutetoolargeslowbodynoservercrowdedshedpausedtimeoutbrokenfailedgone"
+const _causeLowerName = "noneinvalidstartingstoppingnoroutetoolargeslowbodynoservercrowdedshedpausedtimeoutbrokenfailedgone"
 
 func (i cause) String() string {
 	if i < 0 || i >= cause(len(_causeIndex)-1) {
@@ -27,70 +27,74 @@
 	_ = x[causeNone-(0)]
 	_ = x[causeInvalidRequest-(1)]
 	_ = x[causeNotReady-(2)]
-	_ = x[causeNoRoute-(3)]
-	_ = x[causeTooLarge-(4)]
-	_ = x[causeSlowBody-(5)]
-	_ = x[causeNoServer-(6)]
-	_ = x[causeSaturated-(7)]
-	_ = x[causeShed-(8)]
-	_ = x[causePaused-(9)]
-	_ = x[causeTimeout-(10)]
-	_ = x[causeBadResponse-(11)]
-	_ = x[causeServerError-(12)]
-	_ = x[causeCallerDisconnected-(13)]
+	_ = x[causeStopping-(3)]
+	_ = x[causeNoRoute-(4)]
+	_ = x[causeTooLarge-(5)]
+	_ = x[causeSlowBody-(6)]
+	_ = x[causeNoServer-(7)]
+	_ = x[causeSaturated-(8)]
+	_ = x[causeShed-(9)]
+	_ = x[causePaused-(10)]
+	_ = x[causeTimeout-(11)]
+	_ = x[causeBadResponse-(12)]
+	_ = x[causeServerError-(13)]
+	_ = x[causeCallerDisconnected-(14)]
 }
 
-var _causeValues = []cause{causeNone, causeInvalidRequest, causeNotReady, causeNoRoute, causeTooLarge, causeSlowBody, causeNoServer, causeSaturated, causeShed, causePaused, causeTimeout, causeBadResponse, causeServerError, causeCallerDisconnected}
+var _causeValues = []cause{causeNone, causeInvalidRequest, causeNotReady, causeStopping, causeNoRoute, causeTooLarge, causeSlowBody, causeNoServer, causeSaturated, causeShed, causePaused, causeTimeout, causeBadResponse, causeServerError, causeCallerDisconnected}
 
 var _causeNameToValueMap = map[string]cause{
 	_causeName[0:4]:   causeNone,
 	_causeName[4:11]:  causeInvalidRequest,
 	_causeName[11:19]: causeNotReady,
-	_causeName[19:26]: causeNoRoute,
-	_causeName[26:34]: causeTooLarge,
-	_causeName[34:42]: causeSlowBody,
-	_causeName[42:50]: causeNoServer,
-	_causeName[50:57]: causeSaturated,
-	_causeName[57:61]: causeShed,
-	_causeName[61:67]: causePaused,
-	_causeName[67:74]: causeTimeout,
-	_causeName[74:80]: causeBadResponse,
-	_causeName[80:86]: causeServerError,
-	_causeName[86:90]: causeCallerDisconnected,
+	_causeName[19:27]: causeStopping,
+	_causeName[27:34]: causeNoRoute,
+	_causeName[34:42]: causeTooLarge,
+	_causeName[42:50]: causeSlowBody,
+	_causeName[50:58]: causeNoServer,
+	_causeName[58:65]: causeSaturated,
+	_causeName[65:69]: causeShed,
+	_causeName[69:75]: causePaused,
+	_causeName[75:82]: causeTimeout,
+	_causeName[82:88]: causeBadResponse,
+	_causeName[88:94]: causeServerError,
+	_causeName[94:98]: causeCallerDisconnected,
 }
 
 var _causeLowerNameToValueMap = map[string]cause{
 	_causeLowerName[0:4]:   causeNone,
 	_causeLowerName[4:11]:  causeInvalidRequest,
 	_causeLowerName[11:19]: causeNotReady,
-	_causeLowerName[19:26]: causeNoRoute,
-	_causeLowerName[26:34]: causeTooLarge,
-	_causeLowerName[34:42]: causeSlowBody,
-	_causeLowerName[42:50]: causeNoServer,
-	_causeLowerName[50:57]: causeSaturated,
-	_causeLowerName[57:61]: causeShed,
-	_causeLowerName[61:67]: causePaused,
-	_causeLowerName[67:74]: causeTimeout,
-	_causeLowerName[74:80]: causeBadResponse,
-	_causeLowerName[80:86]: causeServerError,
-	_causeLowerName[86:90]: causeCallerDisconnected,
+	_causeLowerName[19:27]: causeStopping,
+	_causeLowerName[27:34]: causeNoRoute,
+	_causeLowerName[34:42]: causeTooLarge,
+	_causeLowerName[42:50]: causeSlowBody,
+	_causeLowerName[50:58]: causeNoServer,
+	_causeLowerName[58:65]: causeSaturated,
+	_causeLowerName[65:69]: causeShed,
+	_causeLowerName[69:75]: causePaused,
+	_causeLowerName[75:82]: causeTimeout,
+	_causeLowerName[82:88]: causeBadResponse,
+	_causeLowerName[88:94]: causeServerError,
+	_causeLowerName[94:98]: causeCallerDisconnected,
 }
 
 var _causeNames = []string{
 	_causeName[0:4],
 	_causeName[4:11],
 	_causeName[11:19],
-	_causeName[19:26],
-	_causeName[26:34],
+	_causeName[19:27],
+	_causeName[27:34],
 	_causeName[34:42],
 	_causeName[42:50],
-	_causeName[50:57],
-	_causeName[57:61],
-	_causeName[61:67],
-	_causeName[67:74],
-	_causeName[74:80],
-	_causeName[80:86],
-	_causeName[86:90],
+	_causeName[50:58],
+	_causeName[58:65],
+	_causeName[65:69],
+	_causeName[69:75],
+	_causeName[75:82],
+	_causeName[82:88],
+	_causeName[88:94],
+	_causeName[94:98],
 }
 
 // causeString retrieves an enum value from the enum constants string name.
--- a/goldcreststand/internal/edge/handler.go
+++ b/goldcreststand/internal/edge/handler.go
@@ -139,6 +139,9 @@
 		timeout = min(timeout, c.route.Timeout)
 	}
 	c.deadline = c.arrived.Add(timeout)
+	if !snap.Stop.Accepts(c.arrived, c.deadline) {
+		return &rejection{status: http.StatusServiceUnavailable, cause: causeStopping, retryAfter: retryAfter}
+	}
 	if limit := int64(snap.Config.Limits.MaxHeader); limit > 0 && headerSize(c.r) > limit {
 		return &rejection{status: http.StatusRequestHeaderFieldsTooLarge, cause: causeTooLarge}
 	}
--- a/goldcreststand/internal/edge/handler_test.go
+++ b/goldcreststand/internal/edge/handler_test.go
@@ -248,6 +248,24 @@
 	require.True(t, resp.Close)
 }
 
+// Guards against a call that is sent to a server late in a planned stop, and is cut off at its end.
+func TestCallThatMayOutlastShutdownIsRejected(t *testing.T) {
+	b := newBackend(t, "s1", respond(200, "ok"))
+	f := newHarness(t, b)
+	now := time.Now()
+	f.snap.ShuttingDown, f.snap.Stop = true, spread.Stop{Since: now.Add(-time.Minute), Until: now.Add(100 * time.Millisecond)}
+	resp, err := f.caller.Do(f.request(http.MethodPost, "/unsafe/", nil))
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.True(t, resp.Close)
+	require.Zero(t, b.count())
+	f.snap.Stop.Until = now.Add(time.Minute)
+	status, _, _ := f.do(f.request(http.MethodPost, "/unsafe/", nil))
+	require.Equal(t, http.StatusOK, status)
+}
+
 // Guards against calls that are rejected because all local servers stopped replying, while remote ones have capacity.
 func TestFailoverToRemoteServers(t *testing.T) {
 	far := newBackend(t, "far", respond(200, "ok"))
--- a/goldcreststand/internal/edge/rejection.go
+++ b/goldcreststand/internal/edge/rejection.go
@@ -16,6 +16,8 @@
 	causeInvalidRequest // invalid
 	// causeNotReady means that this instance has no configuration yet.
 	causeNotReady // starting
+	// causeStopping means that this instance may stop before the call's deadline.
+	causeStopping
 	causeNoRoute
 	causeTooLarge
 	causeSlowBody
--- a/goldcreststand/internal/hub/hub_test.go
+++ b/goldcreststand/internal/hub/hub_test.go
@@ -384,7 +384,9 @@
 	h.rev++
 	removal := MembersUpdate{store.Batch[ring.Member]{Removed: []string{"i1"}, AsOf: h.rev}}
 	require.Equal(t, registration, actionsOf[RegisterMember](h.apply(removal)))
-	require.Equal(t, []Action{DeregisterMember{ID: "i1"}}, h.apply(Shutdown{}))
+	until := h.now.Add(5 * time.Second)
+	require.Equal(t, []Action{DeregisterMember{ID: "i1"}}, h.apply(Shutdown{Until: until}))
+	require.Equal(t, spread.Stop{Since: h.now, Until: until}, h.snapshot().Stop)
 	require.Empty(t, actionsOf[RegisterMember](h.wait(2*registerInterval)), "an instance that shuts down writes its entry")
 }
 
--- a/goldcreststand/internal/hub/snapshot.go
+++ b/goldcreststand/internal/hub/snapshot.go
@@ -15,7 +15,7 @@
 func (st *state) snapshot() *spread.Snapshot {
 	snap := &spread.Snapshot{
 		Config: st.config, Services: make(map[ident.ServiceName]*spread.Service),
-		Members: st.members, Ready: st.ready(), ShuttingDown: st.shuttingDown,
+		Members: st.members, Ready: st.ready(), ShuttingDown: st.shuttingDown, Stop: st.stop,
 		CheckRate: st.self.Bounds.CheckRate * checkRateShare * float64(len(st.servers)) / float64(max(1, len(st.members))),
 	}
 	if st.config == nil {
--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -96,6 +96,7 @@
 	// changed is set when a new snapshot must be published.
 	changed      bool
 	shuttingDown bool
+	stop         spread.Stop
 	config       *rules.Config
 	servers      map[ident.ServerID]*server
 	services     map[ident.ServiceName]*service
--- a/goldcreststand/internal/hub/tick.go
+++ b/goldcreststand/internal/hub/tick.go
@@ -11,6 +11,7 @@
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/place"
 	"goldcreststand.example/core/ring"
+	"goldcreststand.example/core/spread"
 )
 
 const (
@@ -93,8 +94,8 @@
 		Err     error
 	}
 
-	// Shutdown reports that the instance is shutting down.
-	Shutdown struct{}
+	// Shutdown reports that the instance is shutting down, and cuts off calls in flight at the given time.
+	Shutdown struct{ Until time.Time }
 )
 
 var (
@@ -299,8 +300,9 @@
 	return nil
 }
 
-func (Shutdown) apply(st *state) []Action {
+func (e Shutdown) apply(st *state) []Action {
 	st.shuttingDown, st.changed = true, true
+	st.stop = spread.Stop{Since: st.now, Until: e.Until}
 	st.logChange("shutting down", logrus.Fields{})
 	return []Action{DeregisterMember{ID: st.self.ID}}
 }
