edge: bound the memory of all request bodies, and read them without copies

Cause: io.ReadAll grows its buffer by copies (2.25 times the body at once), and nothing limited the bodies of all calls together.

Change: a body is read into buffers of up to 1 MiB that are not copied. Bodies above 64 KiB share 0.45 of the machine's memory; a call whose body finds no room is rejected at once with 503, not executed.

Tests: edge.TestLongBodiesShareMemory, TestBodyIsReadWithoutCopies, TestBodyMemoryIsReleased. With io.ReadAll in place of the new reader all three fail (200 instead of 503; 77 MB allocated for 32 MiB).

--- a/goldcreststand/internal/cmd/instance.go
+++ b/goldcreststand/internal/cmd/instance.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
+	"goldcreststand.example/core/ident"
 	"goldcreststand.example/goldcreststand/internal/edge"
 	"goldcreststand.example/goldcreststand/internal/entry"
 	"goldcreststand.example/goldcreststand/internal/feed"
@@ -74,7 +75,8 @@
 	inst.loop = hub.New(self, clock, boot.Clock{}, inst, log)
 	metrics := edge.NewMetrics()
 	metrics.Publish(inst.vars)
-	inst.handler = edge.New(inst.loop, site.Dialect{}, inst.loop, clock, log, metrics)
+	bodyMemory := ident.Bytes(float64(s.Machine.MemoryMB) * bodyMemoryFraction * (1 << 20))
+	inst.handler = edge.New(inst.loop, site.Dialect{}, inst.loop, clock, log, metrics, edge.WithBodyMemory(bodyMemory))
 	inst.server = edge.NewServer(inst.handler, clock)
 	api := site.NewPlatformAPI(s.Bounds)
 	inst.httpListeners = []*listener{newListener("ready", s.Listen.Ready.String(), entry.NewReadyHandler(inst.loop, api))}
--- a/goldcreststand/internal/cmd/sitecmd.go
+++ b/goldcreststand/internal/cmd/sitecmd.go
@@ -16,7 +16,10 @@
 
 // memoryLimitFraction is the fraction of the machine's memory above which the garbage collector runs more
 // often. Bytes that were received and not yet read take memory too.
-const memoryLimitFraction = 0.5
+const memoryLimitFraction = 0.75
+
+// bodyMemoryFraction is the fraction of the machine's memory that the bodies of callers' requests take at most.
+const bodyMemoryFraction = 0.45
 
 func newSiteCmd(cfg *Config) *cli.Command {
 	var file string
--- a/goldcreststand/internal/edge/call.go
+++ b/goldcreststand/internal/edge/call.go
@@ -24,7 +24,7 @@
 	route    *rules.Route
 	service  ident.ServiceName
 	svc      *spread.Service
-	body     []byte
+	body     requestBody
 	arrived  time.Time
 	deadline time.Time
 
@@ -247,8 +247,9 @@
 	return r.ReadCloser.Close()
 }
 
-// release ends the use of memory and connections for the responses of the call.
+// release ends the use of memory and connections for the call.
 func (c *call) release() {
+	c.body.release(c.h.bodies)
 	for _, t := range c.tries {
 		if t.resp == nil {
 			continue
--- a/goldcreststand/internal/edge/cause_enumer.go
+++ b/goldcreststand/internal/edge/cause_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _causeName = "noneinvalidstartingstoppingnoroutetoolargeslowbodynoservercrowdedshedpausedtimeoutbrokenfailedgone"
+const _causeName = "noneinvalidstartingstoppingnoroutetoolargenomemoryslowbodynoservercrowdedshedpausedtimeoutbrokenfailedgone"
 
-var _causeIndex = [...]uint8{0, 4, 11, 19, 27, 34, 42, 50, 58, 65, 69, 75, 82, 88, 94, 98}
+var _causeIndex = [...]uint8{0, 4, 11, 19, 27, 34, 42, 50, 58, 66, 73, 77, 83, 90, 96, 102, 106}
 
-const _causeLowerName = "noneinvalidstartingstoppingnoroutetoolargeslowbodynoservercrowdedshedpausedtimeoutbrokenfailedgone"
+const _causeLowerName = "noneinvalidstartingstoppingnoroutetoolargenomemoryslowbodynoservercrowdedshedpausedtimeoutbrokenfailedgone"
 
 func (i cause) String() string {
 	if i < 0 || i >= cause(len(_causeIndex)-1) {
@@ -30,53 +30,56 @@
 	_ = x[causeStopping-(3)]
 	_ = x[causeNoRoute-(4)]
 	_ = x[causeTooLarge-(5)]
-	_ = x[causeSlowBody-(6)]
-	_ = x[causeNoServer-(7)]
-	_ = x[causeSaturated-(8)]
-	_ = x[causeShed-(9)]
-	_ = x[causePaused-(10)]
-	_ = x[causeTimeout-(11)]
-	_ = x[causeBadResponse-(12)]
-	_ = x[causeServerError-(13)]
-	_ = x[causeCallerDisconnected-(14)]
+	_ = x[causeNoMemory-(6)]
+	_ = x[causeSlowBody-(7)]
+	_ = x[causeNoServer-(8)]
+	_ = x[causeSaturated-(9)]
+	_ = x[causeShed-(10)]
+	_ = x[causePaused-(11)]
+	_ = x[causeTimeout-(12)]
+	_ = x[causeBadResponse-(13)]
+	_ = x[causeServerError-(14)]
+	_ = x[causeCallerDisconnected-(15)]
 }
 
-var _causeValues = []cause{causeNone, causeInvalidRequest, causeNotReady, causeStopping, causeNoRoute, causeTooLarge, causeSlowBody, causeNoServer, causeSaturated, causeShed, causePaused, causeTimeout, causeBadResponse, causeServerError, causeCallerDisconnected}
+var _causeValues = []cause{causeNone, causeInvalidRequest, causeNotReady, causeStopping, causeNoRoute, causeTooLarge, causeNoMemory, causeSlowBody, causeNoServer, causeSaturated, causeShed, causePaused, causeTimeout, causeBadResponse, causeServerError, causeCallerDisconnected}
 
 var _causeNameToValueMap = map[string]cause{
-	_causeName[0:4]:   causeNone,
-	_causeName[4:11]:  causeInvalidRequest,
-	_causeName[11:19]: causeNotReady,
-	_causeName[19:27]: causeStopping,
-	_causeName[27:34]: causeNoRoute,
-	_causeName[34:42]: causeTooLarge,
-	_causeName[42:50]: causeSlowBody,
-	_causeName[50:58]: causeNoServer,
-	_causeName[58:65]: causeSaturated,
-	_causeName[65:69]: causeShed,
-	_causeName[69:75]: causePaused,
-	_causeName[75:82]: causeTimeout,
-	_causeName[82:88]: causeBadResponse,
-	_causeName[88:94]: causeServerError,
-	_causeName[94:98]: causeCallerDisconnected,
+	_causeName[0:4]:     causeNone,
+	_causeName[4:11]:    causeInvalidRequest,
+	_causeName[11:19]:   causeNotReady,
+	_causeName[19:27]:   causeStopping,
+	_causeName[27:34]:   causeNoRoute,
+	_causeName[34:42]:   causeTooLarge,
+	_causeName[42:50]:   causeNoMemory,
+	_causeName[50:58]:   causeSlowBody,
+	_causeName[58:66]:   causeNoServer,
+	_causeName[66:73]:   causeSaturated,
+	_causeName[73:77]:   causeShed,
+	_causeName[77:83]:   causePaused,
+	_causeName[83:90]:   causeTimeout,
+	_causeName[90:96]:   causeBadResponse,
+	_causeName[96:102]:  causeServerError,
+	_causeName[102:106]: causeCallerDisconnected,
 }
 
 var _causeLowerNameToValueMap = map[string]cause{
-	_causeLowerName[0:4]:   causeNone,
-	_causeLowerName[4:11]:  causeInvalidRequest,
-	_causeLowerName[11:19]: causeNotReady,
-	_causeLowerName[19:27]: causeStopping,
-	_causeLowerName[27:34]: causeNoRoute,
-	_causeLowerName[34:42]: causeTooLarge,
-	_causeLowerName[42:50]: causeSlowBody,
-	_causeLowerName[50:58]: causeNoServer,
-	_causeLowerName[58:65]: causeSaturated,
-	_causeLowerName[65:69]: causeShed,
-	_causeLowerName[69:75]: causePaused,
-	_causeLowerName[75:82]: causeTimeout,
-	_causeLowerName[82:88]: causeBadResponse,
-	_causeLowerName[88:94]: causeServerError,
-	_causeLowerName[94:98]: causeCallerDisconnected,
+	_causeLowerName[0:4]:     causeNone,
+	_causeLowerName[4:11]:    causeInvalidRequest,
+	_causeLowerName[11:19]:   causeNotReady,
+	_causeLowerName[19:27]:   causeStopping,
+	_causeLowerName[27:34]:   causeNoRoute,
+	_causeLowerName[34:42]:   causeTooLarge,
+	_causeLowerName[42:50]:   causeNoMemory,
+	_causeLowerName[50:58]:   causeSlowBody,
+	_causeLowerName[58:66]:   causeNoServer,
+	_causeLowerName[66:73]:   causeSaturated,
+	_causeLowerName[73:77]:   causeShed,
+	_causeLowerName[77:83]:   causePaused,
+	_causeLowerName[83:90]:   causeTimeout,
+	_causeLowerName[90:96]:   causeBadResponse,
+	_causeLowerName[96:102]:  causeServerError,
+	_causeLowerName[102:106]: causeCallerDisconnected,
 }
 
 var _causeNames = []string{
@@ -88,13 +91,14 @@
 	_causeName[34:42],
 	_causeName[42:50],
 	_causeName[50:58],
-	_causeName[58:65],
-	_causeName[65:69],
-	_causeName[69:75],
-	_causeName[75:82],
-	_causeName[82:88],
-	_causeName[88:94],
-	_causeName[94:98],
+	_causeName[58:66],
+	_causeName[66:73],
+	_causeName[73:77],
+	_causeName[77:83],
+	_causeName[83:90],
+	_causeName[90:96],
+	_causeName[96:102],
+	_causeName[102:106],
 }
 
 // causeString retrieves an enum value from the enum constants string name.
--- a/goldcreststand/internal/edge/conn.go
+++ b/goldcreststand/internal/edge/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -142,17 +143,18 @@
 type serverRequest struct {
 	method string
 	head   []byte
-	body   []byte
-	id     ident.RequestID
+	// body is a copy, because the call may end and release its body before it is written.
+	body requestBody
+	id   ident.RequestID
 }
 
 // encodeRequest encodes a request. The request target is forwarded unchanged.
-func encodeRequest(r *http.Request, body []byte, id ident.RequestID) *serverRequest {
+func encodeRequest(r *http.Request, body requestBody, id ident.RequestID) *serverRequest {
 	var b bytes.Buffer
 	b.Grow(512)
 	b.WriteString(r.Method + " " + r.RequestURI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	if len(body) > 0 || r.ContentLength != 0 || r.Header.Get("Content-Length") != "" {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
+	if body.size > 0 || r.ContentLength != 0 || r.Header.Get("Content-Length") != "" {
+		b.WriteString("Content-Length: " + strconv.FormatInt(body.size, 10) + "\r\n")
 	}
 	// Writing to a buffer cannot fail.
 	_ = r.Header.WriteSubset(&b, map[string]bool{"Content-Length": true})
@@ -163,23 +165,21 @@
 // roundTrip sends the request and reads its response. wrote reports whether any byte was written.
 func (c *conn) roundTrip(d Dialect, req *serverRequest) (resp *response, wrote bool, err error) {
 	msg := req.head
-	if len(req.body) <= maxInlineBody {
-		msg = append(msg[:len(msg):len(msg)], req.body...)
+	inline := req.body.size <= maxInlineBody
+	if inline {
+		msg = slices.Concat(append([][]byte{msg}, req.body.parts...)...)
 	}
 	n, err := c.nc.Write(msg)
 	if err != nil {
 		c.unusable = true
 		return nil, n > 0, err
 	}
-	if len(req.body) <= maxInlineBody {
+	if inline {
 		resp, err = c.readResponse(d, req)
 		return resp, true, err
 	}
 	written := make(chan error, 1)
-	go func() {
-		_, err := c.nc.Write(req.body)
-		written <- err
-	}()
+	go func() { written <- req.body.writeTo(c.nc) }()
 	resp, err = c.readResponse(d, req)
 	select {
 	case werr := <-written:
--- a/goldcreststand/internal/edge/handler.go
+++ b/goldcreststand/internal/edge/handler.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
 
+	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/retry"
 	"goldcreststand.example/core/route"
 	"goldcreststand.example/core/rules"
@@ -55,6 +56,7 @@
 	metrics   *Metrics
 	conns     *connSets
 	checks    *rate.Limiter
+	bodies    bodyMemory
 	durations *spread.DurationEstimates
 	seed      uint64
 	calls     atomic.Uint64
@@ -63,13 +65,25 @@
 
 var _ http.Handler = (*Handler)(nil)
 
+// Option changes a handler.
+type Option func(*Handler)
+
+// WithBodyMemory limits the memory that the bodies of all callers' requests take together.
+func WithBodyMemory(limit ident.Bytes) Option {
+	return func(h *Handler) { h.bodies = newBodyMemory(limit) }
+}
+
 // New returns a handler. Run must run while it serves.
-func New(snapshots Snapshots, dialect Dialect, sink Sink, clock clockwork.Clock, log Log, m *Metrics) *Handler {
-	return &Handler{
+func New(snapshots Snapshots, dialect Dialect, sink Sink, clock clockwork.Clock, log Log, m *Metrics, opts ...Option) *Handler {
+	h := &Handler{
 		snapshots: snapshots, dialect: dialect, sink: sink, clock: clock, log: log, metrics: m,
 		conns: newConnSets(&net.Dialer{KeepAlive: -1}, clock), checks: rate.NewLimiter(rate.Inf, initialCheckBurst), durations: spread.NewDurationEstimates(), seed: rand.Uint64(),
-		done: make(chan struct{}),
+		bodies: newBodyMemory(defaultBodyMemory), done: make(chan struct{}),
 	}
+	for _, o := range opts {
+		o(h)
+	}
+	return h
 }
 
 // Done is closed when Run has returned.
@@ -107,11 +121,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{h: h, ctx: r.Context(), r: r, arrived: arrived}
+	defer c.release()
 	if rej := c.prepare(snap, w); rej != nil {
 		h.reject(w, c, rej)
 		return
 	}
-	defer c.release()
 	c.run()
 	h.finish(w, c)
 }
@@ -177,9 +191,11 @@
 	if limit > 0 {
 		stream = http.MaxBytesReader(w, stream, limit)
 	}
-	body, err := io.ReadAll(stream)
+	err := c.body.read(stream, c.r.ContentLength, c.h.bodies)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoBodyMemory):
+		return &rejection{status: http.StatusServiceUnavailable, cause: causeNoMemory, retryAfter: retryAfter, err: err}
 	case errors.As(err, &tooLarge):
 		return &rejection{status: http.StatusRequestEntityTooLarge, cause: causeTooLarge}
 	case err != nil && isTimeout(err):
@@ -188,7 +204,6 @@
 		return &rejection{cause: causeCallerDisconnected, err: err}
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	c.body = body
 	return nil
 }
 
--- a/goldcreststand/internal/edge/rejection.go
+++ b/goldcreststand/internal/edge/rejection.go
@@ -20,6 +20,8 @@
 	causeStopping
 	causeNoRoute
 	causeTooLarge
+	// causeNoMemory means that the bodies of other calls take all memory for bodies.
+	causeNoMemory
 	causeSlowBody
 	// causeNoServer means that no server could take the call.
 	causeNoServer
