hub: admit no server before the rollout orders are known

If the servers came before the order, and a server of the new version had the lowest id, the new version counted as the stable one, the old one waited 3 s, and the new version got all calls of that instance meanwhile.

Change: no server joins a pool, and no version is admitted, before all kinds are known. No call is served before that.

Test, failed before (no stable server): hub.TestStartDuringRolloutKeepsStableVersion.

--- a/goldcreststand/internal/hub/hub_test.go
+++ b/goldcreststand/internal/hub/hub_test.go
@@ -306,6 +306,21 @@
 	require.Equal(t, []ident.ServerID{"s2"}, trial)
 }
 
+// Guards against an instance that starts during a rollout and sends all calls to the new version, because it reads the servers
+// before the order, and takes the first version that it sees for the stable one.
+func TestStartDuringRolloutKeepsStableVersion(t *testing.T) {
+	h := &harness{state: newState(Self{Member: member("i1")}, time.Unix(1e6, 0), noLog{})}
+	h.apply(ConfigUpdate{store.Batch[*rules.Config]{Complete: true, Objects: []store.Object[*rules.Config]{{Name: "main", Value: config(1)}}}})
+	h.list(true, entry("s1", "v2"), entry("s2", "v1"))
+	h.snapshot()
+	h.apply(EvacuationsUpdate{store.Batch[ident.DomainName]{Complete: true}})
+	h.snapshot()
+	h.order(1, "v2", true, canary.PhaseTrial)
+	stable, trial := h.pools()
+	require.Equal(t, []ident.ServerID{"s2"}, stable)
+	require.Equal(t, []ident.ServerID{"s1"}, trial)
+}
+
 // Guards against a rollout phase that sends calls to the wrong servers.
 func TestPhasesChooseServers(t *testing.T) {
 	tests := []struct {
--- a/goldcreststand/internal/hub/snapshot.go
+++ b/goldcreststand/internal/hub/snapshot.go
@@ -24,6 +24,10 @@
 	for n, r := range st.config.Services {
 		snap.Services[n] = st.serviceSnapshot(n, r)
 	}
+	if !snap.Ready {
+		// Without the rollout orders, a version in rollout could count as the stable one.
+		return snap
+	}
 	instances := st.placementInstances()
 	for _, s := range st.sortedServers() {
 		svcSnap := snap.Services[s.entry.Service]
