feed: name the group of watchers, and limit their restarts

Read as a newcomer: Shared says nothing; Group holds what the watchers of a process have in common. control emits one WatchKinds for a change of kinds or turn, in one place.

A store so slow that every watch is late would make all watchers report hung watches to each other, and each report read everything again.

Test: feed.TestRestartsAreLimited (without the limit the second restart lists again).

--- a/goldcreststand/internal/cmd/instance.go
+++ b/goldcreststand/internal/cmd/instance.go
@@ -114,7 +114,7 @@
 	case hub.WatchKinds:
 		inst.kinds.setWatched(a)
 	case hub.RestartWatches:
-		inst.kinds.shared.RestartWatches()
+		inst.kinds.group.RestartWatches()
 	case hub.ReportHang:
 		inst.mesh.ReportHang(a)
 	}
--- a/goldcreststand/internal/cmd/kinds.go
+++ b/goldcreststand/internal/cmd/kinds.go
@@ -30,7 +30,7 @@
 	changedAt() ident.Revision
 	export(from ident.Revision) (json.RawMessage, ident.Revision, error)
 	decode(raw json.RawMessage) (hub.Event, error)
-	follower(k hub.Kind, p feed.Poster, shared *feed.Shared, enabled *feed.Switch, clock clockwork.Clock) runner
+	follower(k hub.Kind, p feed.Poster, group *feed.Group, enabled *feed.Switch, clock clockwork.Clock) runner
 }
 
 // typedKind is an object kind whose objects have type T.
@@ -54,8 +54,8 @@
 	return t.event(b), nil
 }
 
-func (t typedKind[T]) follower(k hub.Kind, p feed.Poster, shared *feed.Shared, enabled *feed.Switch, clock clockwork.Clock) runner {
-	return feed.New(k, t.collection, t.event, p, shared, enabled, clock, t.pollDelay)
+func (t typedKind[T]) follower(k hub.Kind, p feed.Poster, group *feed.Group, enabled *feed.Switch, clock clockwork.Clock) runner {
+	return feed.New(k, t.collection, t.event, p, group, enabled, clock, t.pollDelay)
 }
 
 // kinds holds all object kinds that control follows.
@@ -63,14 +63,14 @@
 	changes  *site.Notifier
 	all      map[hub.Kind]objectKind
 	switches map[hub.Kind]*feed.Switch
-	shared   *feed.Shared
+	group    *feed.Group
 }
 
 var _ mesh.Replicas = (*kinds)(nil)
 
 func newKinds(c *site.Client, clock clockwork.Clock) *kinds {
 	n := site.NewNotifier()
-	ks := &kinds{changes: n, switches: make(map[hub.Kind]*feed.Switch), shared: feed.NewShared(clock)}
+	ks := &kinds{changes: n, switches: make(map[hub.Kind]*feed.Switch), group: feed.NewGroup(clock)}
 	for _, k := range hub.KindValues() {
 		ks.switches[k] = feed.NewSwitch()
 	}
@@ -113,7 +113,7 @@
 
 // setWatched enables the followers of the action's kinds, disables the others and sets the times of their watches.
 func (ks *kinds) setWatched(a hub.WatchKinds) {
-	ks.shared.SetTurn(a.Turn)
+	ks.group.SetTurn(a.Turn)
 	for k, s := range ks.switches {
 		s.Set(a.Kinds[k])
 	}
@@ -123,7 +123,7 @@
 func (ks *kinds) followers(p feed.Poster, clock clockwork.Clock) []runner {
 	out := make([]runner, 0, len(ks.all))
 	for _, k := range hub.KindValues() {
-		out = append(out, ks.all[k].follower(k, p, ks.shared, ks.switches[k], clock))
+		out = append(out, ks.all[k].follower(k, p, ks.group, ks.switches[k], clock))
 	}
 	return out
 }
--- a/goldcreststand/internal/feed/switch_test.go
+++ b/goldcreststand/internal/feed/switch_test.go
@@ -19,7 +19,7 @@
 	s := &source{lists: []reply{{batch: batch(1)}, {batch: batch(2)}}, calls: make(chan string, 16)}
 	p := poster{events: make(chan hub.Event, 16)}
 	on := feed.NewSwitch()
-	f := newWatcher(s, p, feed.NewShared(clockwork.NewRealClock()), on)
+	f := newWatcher(s, p, feed.NewGroup(clockwork.NewRealClock()), on)
 	ctx, cancel := context.WithCancel(t.Context())
 	go f.Run(ctx)
 	require.Empty(t, s.calls)
@@ -55,7 +55,7 @@
 	s := &slowSource{source: source{calls: make(chan string, 16)}, release: make(chan struct{})}
 	p := poster{events: make(chan hub.Event, 16)}
 	on := feed.NewSwitch()
-	f := newWatcher(s, p, feed.NewShared(clockwork.NewRealClock()), on)
+	f := newWatcher(s, p, feed.NewGroup(clockwork.NewRealClock()), on)
 	ctx, cancel := context.WithCancel(t.Context())
 	go f.Run(ctx)
 	on.Set(true)
--- a/goldcreststand/internal/feed/watcher.go
+++ b/goldcreststand/internal/feed/watcher.go
@@ -36,7 +36,7 @@
 	source  Source[T]
 	event   func(store.Batch[T]) hub.Event
 	poster  Poster
-	shared  *Shared
+	group   *Group
 	enabled *Switch
 	clock   clockwork.Clock
 	// minInterval is the delay before each watch. Changes in quick succession arrive with one call.
@@ -48,9 +48,9 @@
 // New returns a watcher that has not started. It calls the store while the switch is on, and posts the events
 // that event makes of the batches.
 func New[T any](
-	k hub.Kind, s Source[T], event func(store.Batch[T]) hub.Event, p Poster, sh *Shared, enabled *Switch, clock clockwork.Clock, minInterval time.Duration,
+	k hub.Kind, s Source[T], event func(store.Batch[T]) hub.Event, p Poster, g *Group, enabled *Switch, clock clockwork.Clock, minInterval time.Duration,
 ) *Watcher[T] {
-	return &Watcher[T]{kind: k, source: s, event: event, poster: p, shared: sh, enabled: enabled, clock: clock, minInterval: minInterval, done: make(chan struct{})}
+	return &Watcher[T]{kind: k, source: s, event: event, poster: p, group: g, enabled: enabled, clock: clock, minInterval: minInterval, done: make(chan struct{})}
 }
 
 // Done is closed when Run has returned.
@@ -72,7 +72,7 @@
 // listAndWatch lists the objects, then watches them until a call fails or the switch is turned off. A batch that
 // was read is posted even if the switch was turned off meanwhile, because the source does not return it again.
 func (w *Watcher[T]) listAndWatch(onCtx, ctx context.Context) {
-	w.shared.Wait(onCtx)
+	w.group.Wait(onCtx)
 	b, err := read(func() (store.Batch[T], error) { return w.source.List(onCtx) })
 	if err != nil {
 		w.reportFailure(onCtx, err)
@@ -88,7 +88,7 @@
 	changed := true
 	for onCtx.Err() == nil {
 		w.pause(onCtx, w.minInterval)
-		b, err := w.watchOnce(onCtx, from, w.shared.watchTime(w.kind, changed))
+		b, err := w.watchOnce(onCtx, from, w.group.watchTime(w.kind, changed))
 		switch {
 		case store.ErrExpired.Has(err), errors.Is(err, errRestarted):
 			return
@@ -103,7 +103,7 @@
 
 // watchOnce makes one watch. When the watch of any kind hangs, those of all kinds end; it then fails with errRestarted.
 func (w *Watcher[T]) watchOnce(ctx context.Context, from ident.Revision, wait time.Duration) (store.Batch[T], error) {
-	watchCtx, stop := w.shared.watchContext(ctx)
+	watchCtx, stop := w.group.watchContext(ctx)
 	defer stop()
 	b, err := read(func() (store.Batch[T], error) { return w.source.Watch(watchCtx, from, wait) })
 	switch {
@@ -112,7 +112,7 @@
 	case watchCtx.Err() != nil:
 		return b, errRestarted
 	case errors.Is(err, context.DeadlineExceeded):
-		w.shared.RestartWatches()
+		w.group.RestartWatches()
 		_ = w.poster.Post(ctx, hub.WatchHung{Kind: w.kind})
 	}
 	return b, err
@@ -128,7 +128,7 @@
 
 // postBatch posts the batch, after StoreAvailable if the store was unavailable.
 func (w *Watcher[T]) postBatch(ctx context.Context, b store.Batch[T]) {
-	w.shared.RecordSuccess()
+	w.group.RecordSuccess()
 	if w.unavailable {
 		w.unavailable = false
 		_ = w.poster.Post(ctx, hub.StoreAvailable{Kind: w.kind})
@@ -144,7 +144,7 @@
 	}
 	w.unavailable = true
 	_ = w.poster.Post(ctx, hub.StoreUnavailable{Kind: w.kind, Err: err})
-	w.shared.RecordFailure()
+	w.group.RecordFailure()
 }
 
 func (w *Watcher[T]) pause(ctx context.Context, d time.Duration) {
--- a/goldcreststand/internal/feed/watcher_test.go
+++ b/goldcreststand/internal/feed/watcher_test.go
@@ -61,9 +61,9 @@
 	return nil
 }
 
-func newWatcher(s feed.Source[ident.DomainName], p feed.Poster, sh *feed.Shared, on *feed.Switch) *feed.Watcher[ident.DomainName] {
+func newWatcher(s feed.Source[ident.DomainName], p feed.Poster, g *feed.Group, on *feed.Switch) *feed.Watcher[ident.DomainName] {
 	event := func(b store.Batch[ident.DomainName]) hub.Event { return hub.EvacuationsUpdate{Batch: b} }
-	return feed.New(hub.KindEvacuations, s, event, p, sh, on, clockwork.NewRealClock(), time.Millisecond)
+	return feed.New(hub.KindEvacuations, s, event, p, g, on, clockwork.NewRealClock(), time.Millisecond)
 }
 
 // run runs a watcher until it has made the calls, and returns the events.
@@ -72,7 +72,7 @@
 	p := poster{events: make(chan hub.Event, 16)}
 	on := feed.NewSwitch()
 	on.Set(true)
-	w := newWatcher(s, p, feed.NewShared(clockwork.NewRealClock()), on)
+	w := newWatcher(s, p, feed.NewGroup(clockwork.NewRealClock()), on)
 	ctx, cancel := context.WithCancel(t.Context())
 	go w.Run(ctx)
 	for _, want := range calls {
@@ -159,7 +159,7 @@
 // Guards against watches that wait for replies that never come, because they were sent while the store was silent and only
 // one of them is found to hang.
 func TestHangingWatchEndsTheOthers(t *testing.T) {
-	sh := feed.NewShared(clockwork.NewRealClock())
+	g := feed.NewGroup(clockwork.NewRealClock())
 	on := feed.NewSwitch()
 	on.Set(true)
 	waiting := &source{lists: []reply{{batch: batch(1)}, {batch: batch(4)}}, calls: make(chan string, 16)}
@@ -169,7 +169,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	for _, s := range []*source{waiting, hanging} {
-		w := newWatcher(s, poster{events: make(chan hub.Event, 16)}, sh, on)
+		w := newWatcher(s, poster{events: make(chan hub.Event, 16)}, g, on)
 		go w.Run(ctx)
 		defer func() { <-w.Done() }()
 		require.Equal(t, "list", <-s.calls)
@@ -184,15 +184,15 @@
 
 // Guards against watches that last longer than the turn allows, or end at the same time as those of other instances.
 func TestWatchesLastAsLongAsTheTurn(t *testing.T) {
-	sh := feed.NewShared(clockwork.NewRealClock())
+	g := feed.NewGroup(clockwork.NewRealClock())
 	turn := relay.Turn{Index: 2, Of: 8}
-	sh.SetTurn(turn)
+	g.SetTurn(turn)
 	on := feed.NewSwitch()
 	on.Set(true)
 	changed := batch(3)
 	changed.Removed = []string{"z"}
 	s := &source{lists: []reply{{batch: batch(1)}}, watches: []reply{{batch: batch(2)}, {batch: changed}}, calls: make(chan string, 16)}
-	w := newWatcher(s, poster{events: make(chan hub.Event, 16)}, sh, on)
+	w := newWatcher(s, poster{events: make(chan hub.Event, 16)}, g, on)
 	ctx, cancel := context.WithCancel(t.Context())
 	go w.Run(ctx)
 	for _, want := range []string{"list", "watch", "watch", "watch"} {
@@ -203,3 +203,22 @@
 	first, next := turn.Waits(int(hub.KindEvacuations), len(hub.KindValues()))
 	require.Equal(t, []time.Duration{first, next, first}, s.waits)
 }
+
+// Guards against watchers that read everything again and again, because many instances report hung watches at once.
+func TestRestartsAreLimited(t *testing.T) {
+	g := feed.NewGroup(clockwork.NewFakeClock())
+	on := feed.NewSwitch()
+	on.Set(true)
+	s := &source{lists: []reply{{batch: batch(1)}, {batch: batch(2)}, {batch: batch(3)}}, calls: make(chan string, 16)}
+	w := newWatcher(s, poster{events: make(chan hub.Event, 16)}, g, on)
+	ctx, cancel := context.WithCancel(t.Context())
+	go w.Run(ctx)
+	for range 2 {
+		require.Equal(t, "list", <-s.calls)
+		require.Equal(t, "watch", <-s.calls)
+		g.RestartWatches()
+	}
+	cancel()
+	<-w.Done()
+	require.Empty(t, s.calls)
+}
--- a/goldcreststand/internal/hub/poll.go
+++ b/goldcreststand/internal/hub/poll.go
@@ -147,7 +147,8 @@
 		}
 	}
 	turn := st.subscription.Turn()
-	if !maps.Equal(kinds, st.watched) {
+	changed := !maps.Equal(kinds, st.watched)
+	if changed {
 		st.logChange("watched kinds changed", logrus.Fields{
 			"kinds": len(kinds), "of": len(KindValues()), "age": st.freshness().Age.Milliseconds(), "members": len(st.members),
 		})
@@ -157,11 +158,11 @@
 				delete(st.unavailableSince, k)
 			}
 		}
-		out = append(out, WatchKinds{Kinds: kinds, Turn: turn})
-	} else if turn != st.turn {
+	}
+	if changed || turn != st.turn {
+		st.turn = turn
 		out = append(out, WatchKinds{Kinds: kinds, Turn: turn})
 	}
-	st.turn = turn
 	if st.polling {
 		return out
 	}
