relay: let no watch of an unlisted instance end at once

Found while reading the change: an instance that is not in the list of members has the index -1, and its first watch after a change would have lasted 0 ms.

Test, failed before: relay.TestTurnsAreSpread.

--- a/core/relay/subscription_test.go
+++ b/core/relay/subscription_test.go
@@ -197,9 +197,11 @@
 	require.GreaterOrEqual(t, latest, 6*time.Second)
 	_, next := relay.Turn{Index: 100, Of: 400}.Waits(0, kinds)
 	require.Equal(t, 25*time.Second, next, "the store allows no longer watch")
-	first, next := relay.Turn{Index: -1}.Waits(0, kinds)
-	require.Positive(t, first)
-	require.Positive(t, next)
+	for _, n := range []int{0, 40} {
+		first, next := relay.Turn{Index: -1, Of: n}.Waits(0, kinds)
+		require.Positive(t, first, "not listed among %d", n)
+		require.Positive(t, next)
+	}
 }
 
 // Guards against an instance that starts and waits for a source that is powered off, while callers wait
--- a/core/relay/turn.go
+++ b/core/relay/turn.go
@@ -12,7 +12,7 @@
 )
 
 // Turn is an instance's position among those that watch the store. Their watches end in turn, so that one that
-// hangs is found soon while each instance makes few calls.
+// hangs is found soon while each instance makes few calls. The index of an instance that is not listed is negative.
 type Turn struct {
 	Index, Of int
 }
@@ -21,6 +21,6 @@
 // of one instance, of which kind is one of the given number, are spread over the whole time.
 func (t Turn) Waits(kind, kinds int) (first, next time.Duration) {
 	n := max(1, t.Of)
-	slot := (t.Index + kind*n/max(1, kinds)) % n
+	slot := (max(0, t.Index) + kind*n/max(1, kinds)) % n
 	return min(time.Duration(slot+1)*confirmInterval, maxWatch), min(time.Duration(n)*confirmInterval, maxWatch)
 }
