relay, feed: make few calls to a store that replies to nobody

Cause: the store is busy for 8 s there. Watches used to survive that, so that the watchers did not notice and counted as up to date. Short watches fail; after 4 s without news all 125 other instances watched the store themselves, tried it every 0.8 s, read everything when it was back, and stayed for 5 s.

Change: an instance whose sources reply but are out of date makes one trial call, then waits for up to 10 s between two, by the size of the fleet; it goes back to its sources as soon as they are up to date. The watchers find the end of the outage within 0.8 s. An instance that starts, or whose sources are silent, calls as often as before.

--- a/core/relay/subscription.go
+++ b/core/relay/subscription.go
@@ -41,6 +41,14 @@
 	// minFallbackTime is the minimum time for which an instance watches the store because its sources
 	// fail. Reading everything again costs as many calls as watching for some ten seconds.
 	minFallbackTime = 5 * time.Second
+	// MinBackoff is the minimum time between two calls of a watcher while the store does not reply.
+	MinBackoff = 100 * time.Millisecond
+	// MaxBackoff is the maximum. Changes must take effect within 2 s.
+	MaxBackoff = 800 * time.Millisecond
+	// fallbackInterval is the mean time between the calls of all other instances together while the store does not
+	// reply to them either, and maxFallbackBackoff the maximum time between two calls of one of them.
+	fallbackInterval   = 50 * time.Millisecond
+	maxFallbackBackoff = 10 * time.Second
 )
 
 // Subscription decides how one instance learns of changes in the store: by watching it, or by polling
@@ -67,6 +75,8 @@
 	// fallbackSince is the time since when this instance has watched the store because its sources fail,
 	// or zero.
 	fallbackSince time.Time
+	// staleSources says that it does so because they are out of date although they reply.
+	staleSources bool
 }
 
 // NewSubscription returns the subscription of an instance that starts and knows no other instance.
@@ -111,6 +121,16 @@
 // Turn returns the position of this instance among those that watch the store.
 func (s *Subscription) Turn() Turn { return s.turn }
 
+// Backoff returns the limits of the time between two calls to a store that does not reply. An instance that has changes
+// from its sources and finds them out of date makes few, because the watchers find the end of an outage soon.
+func (s *Subscription) Backoff() (shortest, longest time.Duration) {
+	if s.watcher || s.upToDateAt.IsZero() {
+		return MinBackoff, MaxBackoff
+	}
+	d := min(max(time.Duration(s.turn.Of)*fallbackInterval, MaxBackoff), maxFallbackBackoff)
+	return d, d
+}
+
 // sourceHash is the sort key of a source. It differs between instances.
 func (s *Subscription) sourceHash(a netip.AddrPort) uint64 {
 	return xxhash.Sum64String(string(s.self.ID) + "\x00" + a.String())
@@ -177,9 +197,9 @@
 	switch {
 	case s.needsFallback(now):
 		if s.fallbackSince.IsZero() {
-			s.fallbackSince = now
+			s.fallbackSince, s.staleSources = now, now.Sub(s.lastReply) < maxStaleness
 		}
-	case now.Sub(s.fallbackSince) >= minFallbackTime:
+	case s.staleSources || now.Sub(s.fallbackSince) >= minFallbackTime:
 		s.fallbackSince = time.Time{}
 	}
 	return !s.fallbackSince.IsZero()
--- a/goldcreststand/internal/feed/breaker.go
+++ b/goldcreststand/internal/feed/breaker.go
@@ -9,30 +9,36 @@
 	"github.com/jonboulle/clockwork"
 )
 
-const (
-	// minBackoff and maxBackoff limit the time between two calls while the store does not reply. Changes must take
-	// effect within 2 s.
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = 800 * time.Millisecond
-)
-
 // Breaker is a circuit breaker shared by the watchers of a process. During an outage of the store it allows one
 // trial call at a time, because each call has a cost and one is enough to detect the end of the outage. It is
 // safe for concurrent use.
 type Breaker struct {
 	clock clockwork.Clock
 
-	mu      sync.Mutex
-	backoff time.Duration
+	mu sync.Mutex
+	// shortest and longest limit the backoff.
+	shortest, longest time.Duration
+	backoff           time.Duration
 	// nextTrial is the time of the next trial call during an outage.
 	nextTrial time.Time
 	// recovered is closed when the store replies.
 	recovered chan struct{}
 }
 
-// NewBreaker returns a breaker that allows all calls.
-func NewBreaker(clock clockwork.Clock) *Breaker {
-	return &Breaker{clock: clock, recovered: make(chan struct{})}
+// NewBreaker returns a breaker that allows all calls. The limits are those of the time between two calls during an outage.
+func NewBreaker(clock clockwork.Clock, shortest, longest time.Duration) *Breaker {
+	return &Breaker{clock: clock, shortest: shortest, longest: longest, recovered: make(chan struct{})}
+}
+
+// SetLimits changes the limits of the time between two calls. When they are raised, an outage is likely, and only a trial
+// call is allowed until the store replies.
+func (b *Breaker) SetLimits(shortest, longest time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if shortest > b.shortest && b.backoff == 0 {
+		b.backoff, b.nextTrial = shortest, b.clock.Now()
+	}
+	b.shortest, b.longest = shortest, longest
 }
 
 // Wait returns when the caller may call the store, or when the context has ended.
@@ -81,6 +87,6 @@
 func (b *Breaker) RecordFailure() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.backoff = min(max(2*b.backoff, minBackoff), maxBackoff)
+	b.backoff = min(max(2*b.backoff, b.shortest), b.longest)
 	b.nextTrial = b.clock.Now().Add(b.backoff/2 + rand.N(b.backoff/2))
 }
--- a/goldcreststand/internal/feed/group.go
+++ b/goldcreststand/internal/feed/group.go
@@ -34,7 +34,7 @@
 
 // NewGroup returns the group of watchers that have not started.
 func NewGroup(clock clockwork.Clock) *Group {
-	g := &Group{Breaker: NewBreaker(clock), watching: NewSwitch()}
+	g := &Group{Breaker: NewBreaker(clock, relay.MinBackoff, relay.MaxBackoff), watching: NewSwitch()}
 	g.watching.Set(true)
 	return g
 }
--- a/goldcreststand/internal/hub/poll.go
+++ b/goldcreststand/internal/hub/poll.go
@@ -27,6 +27,8 @@
 	WatchKinds struct {
 		Kinds map[Kind]bool
 		Turn  relay.Turn
+		// MinBackoff and MaxBackoff limit the time between two calls while the store does not reply.
+		MinBackoff, MaxBackoff time.Duration
 	}
 
 	// PollPeer polls another instance for changes after the known revisions and posts PollCompleted.
@@ -161,7 +163,9 @@
 	}
 	if changed || turn != st.turn {
 		st.turn = turn
-		out = append(out, WatchKinds{Kinds: kinds, Turn: turn})
+		a := WatchKinds{Kinds: kinds, Turn: turn}
+		a.MinBackoff, a.MaxBackoff = st.subscription.Backoff()
+		out = append(out, a)
 	}
 	if st.polling {
 		return out
