--- a/goldcreststand/internal/feed/watcher_test.go
+++ b/goldcreststand/internal/feed/watcher_test.go
@@ -119,13 +119,9 @@
 	require.Equal(t, hub.StoreAvailable{Kind: hub.KindEvacuations}, events[2])
 }
 
-// Guards against calls of all watchers during an outage of the store, and against watchers that keep waiting
-// after it.
-func TestBreakerAllowsOneTrialCall(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	b := feed.NewBreaker(clock, 100*time.Millisecond, 800*time.Millisecond)
-	b.Wait(t.Context())
-	b.RecordFailure()
+// waitFour returns a channel that receives a value for each of four callers that the breaker allows a call. None is allowed at
+// once.
+func waitFour(t *testing.T, b *feed.Breaker, clock *clockwork.FakeClock) <-chan struct{} {
 	passed := make(chan struct{}, 4)
 	for range 4 {
 		go func() {
@@ -135,6 +131,17 @@
 	}
 	require.NoError(t, clock.BlockUntilContext(t.Context(), 4))
 	require.Empty(t, passed)
+	return passed
+}
+
+// Guards against calls of all watchers during an outage of the store, and against watchers that keep waiting
+// after it.
+func TestBreakerAllowsOneTrialCall(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := feed.NewBreaker(clock, 100*time.Millisecond, 800*time.Millisecond)
+	b.Wait(t.Context())
+	b.RecordFailure()
+	passed := waitFour(t, b, clock)
 	clock.Advance(100 * time.Millisecond)
 	<-passed
 	require.NoError(t, clock.BlockUntilContext(t.Context(), 3))
@@ -152,15 +159,7 @@
 	b := feed.NewBreaker(clock, 100*time.Millisecond, 800*time.Millisecond)
 	b.SetLimits(5*time.Second, 5*time.Second)
 	b.Wait(t.Context())
-	passed := make(chan struct{}, 4)
-	for range 4 {
-		go func() {
-			b.Wait(t.Context())
-			passed <- struct{}{}
-		}()
-	}
-	require.NoError(t, clock.BlockUntilContext(t.Context(), 4))
-	require.Empty(t, passed)
+	passed := waitFour(t, b, clock)
 	b.RecordSuccess()
 	for range 4 {
 		<-passed
