http1, edge, hub: log why a connection ended with requests that were not answered

A call that ended so logged cause=gone for a close by its caller and for one by the instance alike, a request that had not become a call left no line, and a process that was late by less than a second did not show.

A connection now keeps the cause of its end. What had been received and not answered is logged and counted by that cause, the contexts of its calls end with it, and a tick of control that is 200 ms late is logged.

--- a/goldcreststand/internal/edge/handler.go
+++ b/goldcreststand/internal/edge/handler.go
@@ -309,7 +309,7 @@
 // lateRejection returns the rejection of a call whose response could not be returned by its deadline.
 func (c *call) lateRejection() *rejection {
 	if c.callerDisconnected() {
-		return &rejection{cause: causeCallerDisconnected}
+		return &rejection{cause: causeCallerDisconnected, err: context.Cause(c.ctx)}
 	}
 	return &rejection{status: http.StatusGatewayTimeout, cause: causeTimeout}
 }
@@ -356,7 +356,7 @@
 	pause, paused := c.retryPool().Unavailable(c.h.clock.Now())
 	switch {
 	case c.cause == retry.CauseGone || c.callerDisconnected():
-		return &rejection{cause: causeCallerDisconnected}
+		return &rejection{cause: causeCallerDisconnected, err: context.Cause(c.ctx)}
 	case c.maybeExecuted && c.cause == retry.CauseDeadline:
 		return &rejection{status: http.StatusGatewayTimeout, cause: causeTimeout}
 	case c.maybeExecuted:
--- a/goldcreststand/internal/edge/turn.go
+++ b/goldcreststand/internal/edge/turn.go
@@ -65,7 +65,7 @@
 	}
 	switch {
 	case c.ctx.Err() != nil:
-		return &rejection{cause: causeCallerDisconnected, err: err}
+		return &rejection{cause: causeCallerDisconnected, err: context.Cause(c.ctx)}
 	case err != nil, !c.h.clock.Now().Before(c.deadline):
 		return &rejection{status: http.StatusServiceUnavailable, cause: causeQueued, retryAfter: retryAfter}
 	}
--- a/goldcreststand/internal/http1/body.go
+++ b/goldcreststand/internal/http1/body.go
@@ -269,7 +269,7 @@
 	}
 	c.ending, c.linger, c.unreadable = true, true, true
 	if len(c.calls) == 0 {
-		c.closeLocked()
+		c.closeLocked(endResponse)
 	}
 	return false
 }
@@ -299,7 +299,7 @@
 func (c *conn) bodyFailed(err error) {
 	var oe *net.OpError
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &oe) {
-		c.cancel()
+		c.cancel(endCallerClosed.err())
 	}
 }
 
--- a/goldcreststand/internal/http1/call.go
+++ b/goldcreststand/internal/http1/call.go
@@ -50,6 +50,7 @@
 	c.reading = false
 	if c.closing || c.sealed {
 		c.srv.metrics.Dropped.Add(1)
+		c.unanswered++
 		x.cancel()
 		return false
 	}
@@ -94,7 +95,7 @@
 			_ = x.c.write([]byte(x.fixed))
 		}
 		x.cancel()
-		x.end(true, true)
+		x.end(endResponse, true)
 		return
 	}
 	aborted := x.serve()
@@ -113,7 +114,11 @@
 		return
 	}
 	x.w.release()
-	x.end(closes, false)
+	cause := endNone
+	if closes {
+		cause = endResponse
+	}
+	x.end(cause, false)
 }
 
 // serve calls the handler. It reports whether the handler panicked, which ends the connection.
@@ -140,7 +145,7 @@
 		// Without a reset the end of the connection would look like the end of the response.
 		x.c.reset()
 	}
-	x.end(true, true)
+	x.end(endAborted, true)
 }
 
 // handlerReturned lets the reader use the connection again.
@@ -153,14 +158,14 @@
 	}
 }
 
-// end removes the call from the line after its response. closes reports that the response ends the connection, and linger
-// that unread bytes of the caller may follow.
-func (x *call) end(closes, linger bool) {
+// end removes the call from the line after its response. cause is endNone unless the response ends the connection, and
+// linger reports that unread bytes of the caller may follow.
+func (x *call) end(cause endCause, linger bool) {
 	c := x.c
 	c.mu.Lock()
 	c.running--
 	if !c.closing && len(c.calls) > 0 && c.calls[0] == x {
-		c.advance(x, closes, linger)
+		c.advance(x, cause, linger)
 	}
 	if x.req != nil {
 		// The rest of a body that was not read may be read for a while. Only the handler uses the fields.
@@ -174,17 +179,20 @@
 }
 
 // advance gives the turn to the next call, or ends the connection. c.mu is locked.
-func (c *conn) advance(x *call, closes, linger bool) {
+func (c *conn) advance(x *call, cause endCause, linger bool) {
 	c.line.Answer()
 	// The array keeps no call that has ended: an idle connection would hold its head.
 	c.calls = slices.Delete(c.calls, 0, 1)
 	c.release(x)
 	unread := x.body != nil && !x.body.complete.Load()
-	if closes || c.ending && len(c.calls) == 0 && (!unread || c.unreadable) {
+	if cause == endNone && c.ending && len(c.calls) == 0 && (!unread || c.unreadable) {
+		cause = endStopping
+	}
+	if cause != endNone {
 		c.srv.metrics.Dropped.Add(int64(c.line.Len() - c.line.Started()))
 		// A caller that did not ask for the end may be sending its next request.
 		c.linger = c.linger || linger || unread || !x.last || len(c.calls) > 0
-		c.closeLocked()
+		c.closeLocked(cause)
 		return
 	}
 	if x.w.deadlineSet {
@@ -203,7 +211,7 @@
 // reset makes the end of the connection look broken.
 func (c *conn) reset() {
 	c.discardUnsent()
-	c.abandon()
+	c.abandon(endAborted)
 }
 
 // discardUnsent lets the close of the connection be a reset.
--- a/goldcreststand/internal/http1/conn.go
+++ b/goldcreststand/internal/http1/conn.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"goldcreststand.example/core/budget"
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/pipe"
@@ -46,7 +48,7 @@
 	accepted time.Time
 	// ctx ends when the caller has closed the connection, or after the last response.
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	// writeSince is the time since which a write has been pending, in nanoseconds since the connection was accepted, or 0. The
 	// time of day may jump.
 	writeSince atomic.Int64
@@ -69,8 +71,12 @@
 	running int
 	// body is the body that is read from the connection at present. The reader waits for its end.
 	body *body
-	// closing is set once a response has ended the connection, or the caller has left. No call is added then.
-	closing bool
+	// closing is set once a response has ended the connection, or the caller has left. No call is added then. cause is the
+	// reason, unanswered the number of calls in the line at that time, and oldest when the first of them was read.
+	closing    bool
+	cause      endCause
+	unanswered int
+	oldest     time.Time
 	// ending is set when the connection ends after the calls that were read.
 	ending bool
 	// sealed is set once a response has said that the connection ends. No call is added then either.
@@ -97,7 +103,7 @@
 		srv: s, nc: nc, remote: nc.RemoteAddr().String(), account: s.budget.Account(nc), accepted: s.clock.Now(),
 		wake: make(chan struct{}, 1), line: *pipe.New(s.limits),
 	}
-	c.ctx, c.cancel = context.WithCancel(context.WithValue(s.ctx, http.LocalAddrContextKey, nc.LocalAddr()))
+	c.ctx, c.cancel = context.WithCancelCause(context.WithValue(s.ctx, http.LocalAddrContextKey, nc.LocalAddr()))
 	return c
 }
 
@@ -126,7 +132,7 @@
 		c.mu.Lock()
 		switch {
 		case c.ending && len(c.calls) == 0:
-			c.closeLocked()
+			c.closeLocked(endStopping)
 			fallthrough
 		case c.closing, c.sealed, c.line.Ended():
 			c.mu.Unlock()
@@ -154,7 +160,7 @@
 	case <-c.wake:
 	case <-c.closeCheck.C:
 		if check && peerClosed(c.nc) {
-			c.abandon()
+			c.abandon(endCallerClosed)
 		}
 	}
 	c.mu.Lock()
@@ -192,13 +198,13 @@
 // has closed the connection.
 func (c *conn) readFailed(err error) {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.abandon()
+		c.abandon(endCallerClosed)
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.calls) == 0 {
-		c.closeLocked()
+		c.closeLocked(endTimeout)
 	}
 	if !c.closing {
 		_ = c.nc.SetReadDeadline(time.Time{})
@@ -248,14 +254,16 @@
 // end ends the connection when the reader stops. The bytes that the caller still sends are read for a while.
 func (c *conn) end() {
 	c.mu.Lock()
-	c.closeLocked()
+	c.closeLocked(endAborted)
 	linger := c.linger
 	c.mu.Unlock()
+	var discarded int64
 	if tc, ok := c.nc.(interface{ CloseWrite() error }); ok && linger && tc.CloseWrite() == nil {
 		_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
-		_, _ = io.CopyN(io.Discard, c.nc, maxLinger)
+		discarded, _ = io.CopyN(io.Discard, c.nc, maxLinger)
 	}
 	_ = c.nc.Close()
+	c.recordEnd(discarded)
 	c.mu.Lock()
 	c.readerDone = true
 	last := c.running == 0
@@ -274,18 +282,40 @@
 	c.srv.remove(c)
 }
 
+// recordEnd counts and logs what the connection had received and not answered when it ended. It is called by the reader.
+func (c *conn) recordEnd(discarded int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	buffered := c.br.Buffered()
+	if c.unanswered == 0 && !c.reading && buffered == 0 && discarded == 0 {
+		return
+	}
+	c.srv.metrics.Unanswered.Add(c.cause.String(), 1)
+	f := logrus.Fields{
+		"caller": c.remote, "cause": c.cause.String(), "calls": c.unanswered, "reading": c.reading, "buffered": buffered,
+		"discarded": discarded, "announced": c.sealed,
+	}
+	if !c.oldest.IsZero() {
+		f["ms"] = c.srv.clock.Since(c.oldest).Milliseconds()
+	}
+	c.srv.log.Failure("connection ended with requests that were not answered", f)
+}
+
 // closeLocked lets the connection take no more calls, cancels those in the line and stops the reader. c.mu is locked.
-func (c *conn) closeLocked() {
+func (c *conn) closeLocked(cause endCause) {
 	if c.closing {
 		return
 	}
-	c.closing = true
+	c.closing, c.cause, c.unanswered = true, cause, len(c.calls)
+	if len(c.calls) > 0 {
+		c.oldest = c.calls[0].readAt
+	}
 	c.line.End()
 	for _, x := range c.calls {
 		c.release(x)
 	}
 	c.calls = nil
-	c.cancel()
+	c.cancel(cause.err())
 	c.wakeReader()
 	if c.linger {
 		_ = c.nc.SetReadDeadline(aLongTimeAgo)
@@ -295,7 +325,7 @@
 }
 
 // abandon closes the connection at once.
-func (c *conn) abandon() {
+func (c *conn) abandon(cause endCause) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.linger = false
@@ -303,7 +333,7 @@
 		// Without a reset the end of the connection would look like the end of the response.
 		c.discardUnsent()
 	}
-	c.closeLocked()
+	c.closeLocked(cause)
 	_ = c.nc.Close()
 }
 
@@ -316,12 +346,12 @@
 
 // closeIdle closes the connection if no call is in the line, and no byte of a request has arrived. A connection that was
 // accepted a moment ago is spared, because its request may not have been read yet.
-func (c *conn) closeIdle(now time.Time) {
+func (c *conn) closeIdle(now time.Time, cause endCause) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isNew := c.idleSince.IsZero() && now.Sub(c.accepted) < newConnGrace
 	if len(c.calls) == 0 && !c.reading && !isNew {
-		c.closeLocked()
+		c.closeLocked(cause)
 	}
 }
 
@@ -351,7 +381,7 @@
 		n, err := c.nc.Write(p[:min(len(p), maxWrite)])
 		c.writeSince.Store(0)
 		if err != nil {
-			c.abandon()
+			c.abandon(endCallerClosed)
 			return err
 		}
 		p = p[n:]
--- a/goldcreststand/internal/http1/metrics.go
+++ b/goldcreststand/internal/http1/metrics.go
@@ -14,6 +14,8 @@
 	Invalid expvar.Int
 	// Stalled counts the connections that were closed because their callers did not read.
 	Stalled expvar.Int
+	// Unanswered counts the connections that ended with requests that were not answered, by the cause of the end.
+	Unanswered expvar.Map
 }
 
 // Publish adds the metrics to a map.
@@ -24,4 +26,5 @@
 	to.Set("droppedbehind", &m.Dropped)
 	to.Set("invalid", &m.Invalid)
 	to.Set("stalled", &m.Stalled)
+	to.Set("unanswered", &m.Unanswered)
 }
--- a/goldcreststand/internal/http1/request.go
+++ b/goldcreststand/internal/http1/request.go
@@ -47,7 +47,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return c.fixedCall("")
 	case !Error.Has(err):
-		c.abandon()
+		c.abandon(endCallerClosed)
 		return nil
 	}
 	c.srv.metrics.Invalid.Add(1)
--- a/goldcreststand/internal/http1/server.go
+++ b/goldcreststand/internal/http1/server.go
@@ -214,12 +214,12 @@
 	now, idle := s.clock.Now(), s.idleTimeout()
 	for _, c := range s.snapshot() {
 		if c.idleFor(now) > idle {
-			c.closeIdle(now)
+			c.closeIdle(now, endIdle)
 		}
 		if c.stalledFor(now) > s.stallTimeout {
 			s.metrics.Stalled.Add(1)
 			s.log.Failure("closed the connection of a caller that does not read", logrus.Fields{"caller": c.remote})
-			c.abandon()
+			c.abandon(endStalled)
 		}
 	}
 }
@@ -250,7 +250,7 @@
 			c.endAfterRead()
 		}
 		for _, c := range conns {
-			c.closeIdle(s.clock.Now())
+			c.closeIdle(s.clock.Now(), endStopping)
 		}
 		select {
 		case <-ticker.C:
@@ -264,7 +264,7 @@
 func (s *Server) Close() error {
 	s.stop()
 	for _, c := range s.snapshot() {
-		c.abandon()
+		c.abandon(endServerClosed)
 	}
 	return nil
 }
--- a/goldcreststand/internal/hub/loop.go
+++ b/goldcreststand/internal/hub/loop.go
@@ -26,6 +26,8 @@
 	maxOutcomes = 4096
 	// minPause is the time between two ticks beyond which the process is considered to have been paused.
 	minPause = time.Second
+	// minDelay is the delay of a tick from which it is logged. Requests wait as long to be read, and are answered late.
+	minDelay = 200 * time.Millisecond
 )
 
 // Event is an input of the control goroutine. It changes the state and returns the actions to carry out.
@@ -155,7 +157,11 @@
 // tick detects pauses of the process and records the queued outcomes.
 func (l *Loop) tick() {
 	at := l.elapsed.Elapsed()
-	paused := at-l.lastTick > minPause
+	took := at - l.lastTick
+	paused := took > minPause
+	if delay := took - tickInterval; !paused && delay >= minDelay {
+		l.state.logChange("tick was late", logrus.Fields{"delay": delay.Milliseconds()})
+	}
 	l.lastTick = at
 	for range len(l.outcomes) {
 		l.state.recordOutcome(<-l.outcomes)
--- a/goldcreststand/internal/hub/loop_test.go
+++ b/goldcreststand/internal/hub/loop_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"goldcreststand.example/core/relay"
@@ -25,6 +26,35 @@
 
 func (neverPaused) Elapsed() time.Duration { return 0 }
 
+// steppedElapsed is an ElapsedClock that the test sets.
+type steppedElapsed struct{ d time.Duration }
+
+func (e *steppedElapsed) Elapsed() time.Duration { return e.d }
+
+// messageLog keeps the messages of state changes.
+type messageLog struct{ messages []string }
+
+func (l *messageLog) StateChange(msg string, _ logrus.Fields) { l.messages = append(l.messages, msg) }
+
+// Guards against requests that waited for a late process without a line that says that it was late.
+func TestLateTickIsLogged(t *testing.T) {
+	for _, tt := range []struct {
+		took time.Duration
+		want []string
+	}{
+		{took: tickInterval},
+		{took: tickInterval + minDelay, want: []string{"hub: tick was late"}},
+		{took: 2 * minPause, want: []string{"hub: process was paused"}},
+	} {
+		clock, out := new(steppedElapsed), new(messageLog)
+		l := New(Self{Member: member("i1")}, clockwork.NewFakeClock(), clock, make(actionQueue, 16), out)
+		l.tick()
+		out.messages, clock.d = nil, tt.took
+		l.tick()
+		require.Equal(t, tt.want, out.messages, "%v", tt.took)
+	}
+}
+
 // Guards against a start that reads the list of members only at the second tick.
 func TestStartReadsMembersAtOnce(t *testing.T) {
 	done := make(actionQueue, 16)
