http1: failing tests for requests that a stop or an idle timeout cuts off

Callers on kept connections lose a request that has arrived: closeIdle and the end of a call decide that the connection is idle, while only its reader knows whether a request has arrived. The reader reports it too late: the bytes may be in its read, in its buffer or still in the kernel.

Each test stops the reader around a read, lets the server decide, and lets the reader go on.

--- /dev/null
+++ b/goldcreststand/internal/http1/lostrequest_test.go
@@ -0,0 +1,324 @@
+package http1_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"goldcreststand.example/goldcreststand/internal/http1"
+)
+
+// actionTimeout is the time for which the tests wait for a measure of the server that may not come.
+const actionTimeout = 300 * time.Millisecond
+
+// barrier stops the goroutine that reaches it until the test lets it go on.
+type barrier struct {
+	reached, release chan struct{}
+}
+
+func newBarrier() *barrier {
+	return &barrier{reached: make(chan struct{}), release: make(chan struct{})}
+}
+
+// pass stops at the barrier. A nil barrier stops nothing.
+func (b *barrier) pass() {
+	if b != nil {
+		close(b.reached)
+		<-b.release
+	}
+}
+
+// lateConn is a connection whose reader can be stopped around a read, as in a process that is short of processor time.
+type lateConn struct {
+	*net.TCPConn
+	// before stops the next read while its bytes are still in the kernel, after once the read has taken them.
+	before, after atomic.Pointer[barrier]
+	// acted receives a value when the server closes the connection or sets a deadline for its reads.
+	acted chan struct{}
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	c.before.Swap(nil).pass()
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.after.Swap(nil).pass()
+	}
+	return n, err
+}
+
+func (c *lateConn) SetReadDeadline(t time.Time) error {
+	defer c.act()
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+func (c *lateConn) Close() error {
+	defer c.act()
+	return c.TCPConn.Close()
+}
+
+func (c *lateConn) act() {
+	select {
+	case c.acted <- struct{}{}:
+	default:
+	}
+}
+
+// stopAfterRead returns a barrier for the next read that takes bytes.
+func (c *lateConn) stopAfterRead() *barrier {
+	b := newBarrier()
+	c.after.Store(b)
+	return b
+}
+
+// forgetActions discards the measures of the server so far.
+func (c *lateConn) forgetActions() {
+	select {
+	case <-c.acted:
+	default:
+	}
+}
+
+// awaitAction waits for a measure of the server against the connection, or until it is clear that none comes.
+func (c *lateConn) awaitAction() {
+	select {
+	case <-c.acted:
+	case <-time.After(actionTimeout):
+	}
+}
+
+// lateListener accepts connections as lateConns, and passes them to the test.
+type lateListener struct {
+	net.Listener
+	conns chan *lateConn
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &lateConn{TCPConn: nc.(*net.TCPConn), acted: make(chan struct{}, 1)}
+	l.conns <- c
+	return c, nil
+}
+
+// lateServer is a server whose connections are lateConns.
+type lateServer struct {
+	*http1.Server
+	t       *testing.T
+	clock   *clockwork.FakeClock
+	account *account
+	ln      *lateListener
+}
+
+func newLateServer(t *testing.T, h http.Handler, opts ...http1.Option) *lateServer {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &lateServer{
+		t: t, clock: clockwork.NewFakeClock(), account: newAccount(),
+		ln: &lateListener{Listener: ln, conns: make(chan *lateConn, 8)},
+	}
+	s.Server = http1.New(h, s.clock, append(opts, http1.WithBudget(s.account))...)
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.Run(ctx)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(s.ln) }()
+	t.Cleanup(func() {
+		require.NoError(t, s.Close())
+		require.NoError(t, <-served)
+		cancel()
+		<-s.Done()
+	})
+	return s
+}
+
+// dial returns a new connection of a caller and the server's side of it.
+func (s *lateServer) dial() (*caller, *lateConn) {
+	c := dial(s.t, s.ln.Addr().String())
+	return c, receive(s.t, s.ln.conns)
+}
+
+// shutdown starts the shutdown of the server.
+func (s *lateServer) shutdown() <-chan error {
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(context.Background()) }()
+	return done
+}
+
+// scan lets the time pass and the server search for idle connections.
+func (s *lateServer) scan(d time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	require.NoError(s.t, s.clock.BlockUntilContext(ctx, 1))
+	s.clock.Advance(d)
+}
+
+// requireLast requires that the next response is the one to the request for the path, and says that the connection ends.
+func (c *caller) requireLast(path string) {
+	resp, b := c.next()
+	require.Equal(c.t, path, b)
+	require.True(c.t, resp.Close)
+	c.requireEnd()
+}
+
+// Guards against a planned stop that takes a kept connection for idle although its reader has just read a request.
+func TestShutdownAnswersARequestThatIsBeingRead(t *testing.T) {
+	s := newLateServer(t, handler(echo))
+	c, nc := s.dial()
+	c.get("/unsafe/1")
+	c.bodies(1)
+	s.account.requireEmpty(t)
+	b := nc.stopAfterRead()
+	nc.forgetActions()
+	c.get("/unsafe/2")
+	receive(t, b.reached)
+	done := s.shutdown()
+	nc.awaitAction()
+	close(b.release)
+	c.requireLast("/unsafe/2")
+	require.NoError(t, receive(t, done))
+}
+
+// Guards against a planned stop that takes a kept connection for idle although a request has arrived that its reader had no
+// processor time to read.
+func TestShutdownAnswersARequestThatHasArrived(t *testing.T) {
+	s := newLateServer(t, handler(echo))
+	c, nc := s.dial()
+	first := nc.stopAfterRead()
+	c.get("/unsafe/1")
+	receive(t, first.reached)
+	b := newBarrier()
+	nc.before.Store(b)
+	close(first.release)
+	c.bodies(1)
+	s.account.requireEmpty(t)
+	receive(t, b.reached)
+	nc.forgetActions()
+	c.get("/unsafe/2")
+	done := s.shutdown()
+	nc.awaitAction()
+	close(b.release)
+	c.requireLast("/unsafe/2")
+	require.NoError(t, receive(t, done))
+}
+
+// Guards against a planned stop that takes a connection for idle while the rest of an answered request's body is read,
+// behind which the next request has arrived.
+func TestShutdownAnswersARequestBehindTheRestOfABody(t *testing.T) {
+	s := newLateServer(t, handler(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) }))
+	c, nc := s.dial()
+	c.send("POST /unsafe/1 HTTP/1.1\nHost: a\nContent-Length: 8\n\nhalf")
+	resp, _ := c.next()
+	require.False(t, resp.Close)
+	s.account.requireEmpty(t)
+	b := nc.stopAfterRead()
+	nc.forgetActions()
+	c.send("restGET /unsafe/2 HTTP/1.1\nHost: a\n\n")
+	receive(t, b.reached)
+	done := s.shutdown()
+	nc.awaitAction()
+	close(b.release)
+	c.requireLast("/unsafe/2")
+	require.NoError(t, receive(t, done))
+}
+
+// Guards against a planned stop that ends a connection behind a response which did not say so, although the next request
+// has arrived.
+func TestShutdownAnswersARequestBehindAResponseThatKeepsTheConnection(t *testing.T) {
+	for name, readAhead := range map[string]bool{"being read": true, "not read yet": false} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			s := newLateServer(t, handler(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Type", "text/plain")
+				w.Header().Set("Content-Length", strconv.Itoa(len(r.URL.Path)))
+				_, _ = io.WriteString(w, r.URL.Path)
+				if r.URL.Path == "/unsafe/1" {
+					_ = http.NewResponseController(w).Flush()
+					<-release
+				}
+			}))
+			s.account.noAhead = !readAhead
+			idle, _ := s.dial()
+			idle.get("/unsafe/0")
+			idle.bodies(1)
+			c, nc := s.dial()
+			c.get("/unsafe/1")
+			resp, _ := c.next()
+			require.False(t, resp.Close)
+			var b *barrier
+			if readAhead {
+				b = nc.stopAfterRead()
+				c.get("/unsafe/2")
+				receive(t, b.reached)
+			}
+			done := s.shutdown()
+			// By now the server has decided that the connections end after the calls that were read.
+			idle.requireEnd()
+			if !readAhead {
+				c.get("/unsafe/2")
+			}
+			nc.forgetActions()
+			close(release)
+			if readAhead {
+				nc.awaitAction()
+				close(b.release)
+			}
+			c.requireLast("/unsafe/2")
+			require.NoError(t, receive(t, done))
+		})
+	}
+}
+
+// idleTimeout is the idle timeout of the connections in these tests.
+const idleTimeout = 10 * time.Second
+
+func withIdleTimeout() http1.Option {
+	return http1.WithIdleTimeout(func() time.Duration { return idleTimeout })
+}
+
+// Guards against an idle timeout that closes a connection although its reader has read a request within the timeout.
+func TestIdleTimeoutSparesARequestThatIsBeingRead(t *testing.T) {
+	s := newLateServer(t, handler(echo), withIdleTimeout())
+	c, nc := s.dial()
+	c.get("/unsafe/1")
+	c.bodies(1)
+	s.account.requireEmpty(t)
+	b := nc.stopAfterRead()
+	nc.forgetActions()
+	c.get("/unsafe/2")
+	receive(t, b.reached)
+	s.scan(2 * idleTimeout)
+	nc.awaitAction()
+	close(b.release)
+	require.Equal(t, []string{"/unsafe/2"}, c.bodies(1))
+}
+
+// Guards against an idle timeout that closes a connection although a request has arrived within the timeout, which its
+// reader had no processor time to read.
+func TestIdleTimeoutSparesARequestThatHasArrived(t *testing.T) {
+	s := newLateServer(t, handler(echo), withIdleTimeout())
+	c, nc := s.dial()
+	first := nc.stopAfterRead()
+	c.get("/unsafe/1")
+	receive(t, first.reached)
+	b := newBarrier()
+	nc.before.Store(b)
+	close(first.release)
+	c.bodies(1)
+	s.account.requireEmpty(t)
+	receive(t, b.reached)
+	nc.forgetActions()
+	c.get("/unsafe/2")
+	s.scan(2 * idleTimeout)
+	nc.awaitAction()
+	close(b.release)
+	require.Equal(t, []string{"/unsafe/2"}, c.bodies(1))
+}
