intake: failing test for a call that is cut off under pressure

relieve chooses connections under the lock of the gate, and closes them one after the other without it. One that was chosen as idle may have got a request meanwhile, which then ends without an answer.

--- /dev/null
+++ b/goldcreststand/internal/intake/relief_test.go
@@ -0,0 +1,55 @@
+package intake
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcreststand.example/core/budget"
+)
+
+// slowClose is a connection whose close takes until the test lets it end.
+type slowClose struct {
+	net.Conn
+	begun, release chan struct{}
+}
+
+func (c *slowClose) Close() error {
+	close(c.begun)
+	<-c.release
+	return c.Conn.Close()
+}
+
+// Guards against a search under pressure that closes a connection which was chosen as idle and has got a whole request since.
+func TestReliefSparesAConnectionWithANewRequest(t *testing.T) {
+	f := newFixture(t)
+	f.gate = New(budget.Limits{
+		Memory: 1 << 20, PeerMemory: 1 << 20, Conns: map[budget.Class]int{budget.ClassCalls: 4},
+		Stall: time.Second, IdleStall: 5 * time.Second, NewStall: time.Second / 5,
+	}, f.clock, f.log, NewMetrics())
+	f.ln = f.gate.Listener(f.pipes, budget.ClassCalls)
+	first, _ := f.accept()
+	second, caller := f.accept()
+	f.accept()
+	f.accept()
+	// Both of the first two connections are chosen at once.
+	slow := &slowClose{Conn: first.Conn, begun: make(chan struct{}), release: make(chan struct{})}
+	first.Conn = slow
+	relieved := make(chan struct{})
+	go func() {
+		defer close(relieved)
+		f.advance(time.Second / 2)
+	}()
+	<-slow.begun
+	read := f.receive(second, caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") == nil
+	if read {
+		f.gate.Account(second).BeginCall()
+	}
+	close(slow.release)
+	<-relieved
+	// A pipe takes no deadline once a side is closed.
+	closed := caller.SetReadDeadline(time.Now()) != nil
+	require.False(t, read && closed, "the connection was closed with a call in progress")
+}
