crowd: requests that cross closes and planned work, failing

Callers with kept connections send a request when the first of several hundred idle connections is closed, at the idle timeout or at the stop of the instance. The test tells a request that was read from one that crossed the close by TCP_INFO: its bytes are acknowledged and the connection ended without a reset, which Linux sends for unread bytes. On a scratch copy with log lines the requests are exactly those for which conn.awaitByte finds the connection closed after it has read them: closeIdle runs between the read and the setting of reading.

A third test plays stops, signals, settings and configurations beside callers, single and pipelined.

The fake store wakes watches at a change, and the fake backend server works for a time that the request names and records the ids of its calls.

--- a/goldcreststand/internal/crowd/fakestore_test.go
+++ b/goldcreststand/internal/crowd/fakestore_test.go
@@ -19,6 +19,8 @@
 	mu       sync.Mutex
 	revision int
 	objects  map[string]map[string]object
+	// changed is closed at the next change.
+	changed chan struct{}
 }
 
 // object is an object of the store.
@@ -34,7 +36,7 @@
 }
 
 func newFakeStore(t *testing.T) *fakeStore {
-	s := &fakeStore{objects: make(map[string]map[string]object)}
+	s := &fakeStore{objects: make(map[string]map[string]object), changed: make(chan struct{})}
 	s.srv = httptest.NewServer(s)
 	t.Cleanup(s.srv.Close)
 	return s
@@ -54,6 +56,8 @@
 	}
 	s.revision++
 	s.objects[kind][name] = object{Metadata: metadata{Name: name, Revision: s.revision, Created: s.revision}, Spec: raw}
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // ServeHTTP serves lists, watches and writes.
@@ -72,7 +76,7 @@
 	case q.Has("watch"):
 		s.watch(w, r, kind)
 	default:
-		items, revision := s.newer(kind, 0)
+		items, revision, _ := s.newer(kind, 0)
 		_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "hasMore": false, "asOf": revision})
 	}
 }
@@ -81,14 +85,17 @@
 func (s *fakeStore) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("watch"))
 	ms, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
-	items, revision := s.newer(kind, from)
-	if len(items) == 0 {
+	end := time.After(time.Duration(ms) * time.Millisecond)
+	items, revision, changed := s.newer(kind, from)
+	for waiting := true; waiting && len(items) == 0; {
 		select {
-		case <-time.After(time.Duration(ms) * time.Millisecond):
+		case <-changed:
+		case <-end:
+			waiting = false
 		case <-r.Context().Done():
 			return
 		}
-		items, revision = s.newer(kind, from)
+		items, revision, changed = s.newer(kind, from)
 	}
 	events := make([]map[string]any, 0, len(items))
 	for _, o := range items {
@@ -97,8 +104,9 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "asOf": revision})
 }
 
-// newer returns the objects of the kind that changed after the revision, and the revision of the store.
-func (s *fakeStore) newer(kind string, from int) ([]object, int) {
+// newer returns the objects of the kind that changed after the revision, the revision of the store, and a channel that is closed
+// at the next change.
+func (s *fakeStore) newer(kind string, from int) ([]object, int, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := []object{}
@@ -107,5 +115,5 @@
 			out = append(out, o)
 		}
 	}
-	return out, s.revision
+	return out, s.revision, s.changed
 }
--- a/goldcreststand/internal/crowd/main_test.go
+++ b/goldcreststand/internal/crowd/main_test.go
@@ -1,5 +1,6 @@
 // Package crowd tests that callers which the operators do not control can neither end an instance nor take its memory
-// or its descriptors. Each test starts the program on loopback addresses with low limits in its settings.
+// or its descriptors, and that requests that cross a close or planned work get a response once they are read. Each test
+// starts the program on loopback addresses.
 package crowd
 
 import (
--- a/goldcreststand/internal/crowd/process_test.go
+++ b/goldcreststand/internal/crowd/process_test.go
@@ -39,13 +39,46 @@
 // limits are the limits of an instance's machine, and that of bodies in the configuration.
 type limits struct{ memoryMB, maxFiles, maxBody int }
 
+// deployment is what instances run beside: a store, and a backend server for each service.
+type deployment struct {
+	store    *fakeStore
+	backends []*fakeBackend
+	// grace is the time in seconds between SIGTERM and SIGKILL.
+	grace float64
+}
+
+// newDeployment starts a store with the configuration, and backend servers with a number of slots.
+func newDeployment(t *testing.T, cfg map[string]any, slots int) deployment {
+	d := deployment{store: newFakeStore(t), grace: 2}
+	d.store.put("config", "main", cfg)
+	for n, service := range []string{"svc", "other"} {
+		id := fmt.Sprintf("server-%d", n+1)
+		b := newFakeBackend(t, id, slots)
+		d.backends = append(d.backends, b)
+		d.store.put("servers", id, map[string]any{
+			"service": service, "address": b.address(), "zone": "zone-a", "version": "v1", "slots": slots,
+			"state": "ready", "warmupLeftMs": 0, "seq": 1, "born": 1,
+		})
+	}
+	return d
+}
+
+// hasSeen reports whether a call has reached a backend server.
+func (d *deployment) hasSeen(id string) bool {
+	return slices.ContainsFunc(d.backends, func(b *fakeBackend) bool { return b.hasSeen(id) })
+}
+
 // process is a running instance.
 type process struct {
 	t      *testing.T
 	limits limits
-	cmd    *exec.Cmd
-	log    *bytes.Buffer
-	ended  chan error
+	// settings is the path of the settings file.
+	settings string
+	// env holds variables of the environment.
+	env   []string
+	cmd   *exec.Cmd
+	log   *bytes.Buffer
+	ended chan error
 	// Addresses of the instance.
 	calls, ready, lookup, metrics, peers netip.AddrPort
 	// mostFiles is the largest number of open descriptors that was seen.
@@ -54,36 +87,51 @@
 
 // start starts an instance beside a store and a backend server, and waits until it serves calls.
 func start(t *testing.T, l limits) *process {
-	store, backend := newFakeStore(t), newFakeBackend(t)
-	store.put("config", "main", configuration(l.maxBody))
-	store.put("servers", "server-1", map[string]any{
-		"service": "svc", "address": backend.Listener.Addr().String(), "zone": "zone-a", "version": "v1", "slots": 4,
-		"state": "ready", "warmupLeftMs": 0, "seq": 1, "born": 1,
-	})
-	p := &process{t: t, limits: l, log: new(bytes.Buffer), ended: make(chan error, 1)}
+	p := prepare(t, l, newDeployment(t, configuration(l.maxBody), 4))
+	p.serve()
+	return p
+}
+
+// prepare returns an instance that has not started.
+func prepare(t *testing.T, l limits, d deployment) *process {
+	p := &process{t: t, limits: l, env: []string{maxFilesVariable + "=" + strconv.Itoa(l.maxFiles)}}
 	p.chooseAddresses()
-	p.run(p.writeSettings(store.address()))
-	require.Eventually(t, func() bool {
+	p.settings = filepath.Join(t.TempDir(), "settings.json")
+	p.writeSettings(d)
+	return p
+}
+
+// serve starts the process and waits until it serves calls.
+func (p *process) serve() {
+	p.run()
+	require.Eventually(p.t, func() bool {
 		status, err := p.get(p.ready, "/goldcreststand/ready")
 		return err == nil && status == http.StatusOK
 	}, patience, 10*time.Millisecond, "the instance does not become ready")
 	p.requireOrdinaryCall()
-	return p
 }
 
 // configuration returns a configuration with one route.
 func configuration(maxBody int) map[string]any {
 	return map[string]any{
-		"version": "00000001",
-		"limits":  map[string]any{"maxHeaderBytes": maxHeader, "maxBodyBytes": maxBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"listeners": []any{map[string]any{"host": callHost, "rules": []any{map[string]any{
-			"name": "route", "kind": "safe", "targetLatencyMs": 500, "priority": 1,
-			"match":  map[string]any{"pathPrefix": callPath},
-			"action": map[string]any{"service": "svc", "timeoutMs": 5000, "maxAttempts": 2},
-		}}}},
-		"clusters": []any{map[string]any{
-			"name": "svc", "healthPath": "/health", "maxConns": 240, "protocol": "h1", "tls": false, "warmupS": 3.0, "warmupPerS": 7.4,
-		}},
+		"version":   "00000001",
+		"limits":    map[string]any{"maxHeaderBytes": maxHeader, "maxBodyBytes": maxBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"listeners": []any{map[string]any{"host": callHost, "rules": []any{rule("route", "safe", callPath)}}},
+		"clusters":  []any{cluster("svc"), cluster("other")},
+	}
+}
+
+func rule(name, kind, prefix string) map[string]any {
+	return map[string]any{
+		"name": name, "kind": kind, "targetLatencyMs": 500, "priority": 1,
+		"match":  map[string]any{"pathPrefix": prefix},
+		"action": map[string]any{"service": "svc", "timeoutMs": 5000, "maxAttempts": 2},
+	}
+}
+
+func cluster(service string) map[string]any {
+	return map[string]any{
+		"name": service, "healthPath": "/health", "maxConns": 240, "protocol": "h1", "tls": false, "warmupS": 3.0, "warmupPerS": 7.4,
 	}
 }
 
@@ -97,37 +145,37 @@
 	}
 }
 
-// writeSettings writes the settings file and returns its path.
-func (p *process) writeSettings(store netip.AddrPort) string {
+// writeSettings writes the settings file.
+func (p *process) writeSettings(d deployment) {
 	b, err := json.Marshal(map[string]any{
-		"nodeName": "instance-1", "zone": "zone-a", "region": "region-a", "ip": p.peers.Addr().String(),
+		"nodeName": fmt.Sprintf("instance-%d", p.calls.Port()), "zone": "zone-a", "region": "region-a", "ip": p.peers.Addr().String(),
 		"listen":        map[string]any{"front": p.calls, "ready": p.ready, "directory": p.lookup, "control": p.metrics},
 		"internalPorts": []uint16{p.peers.Port(), p.peers.Port()},
-		"platform":      map[string]any{"address": store},
+		"platform":      map[string]any{"address": d.store.address()},
 		"bounds": map[string]any{
-			"graceS": 2, "retryBudgetRatio": 0.2, "retryWindowS": 10, "retrySlack": 60, "ttl_max_s": 5, "probesPerS": 1000,
+			"graceS": d.grace, "retryBudgetRatio": 0.2, "retryWindowS": 10, "retrySlack": 60, "ttl_max_s": 5, "probesPerS": 1000,
 		},
 		"limits": map[string]any{"memoryMb": p.limits.memoryMB, "maxFds": p.limits.maxFiles},
 	})
 	require.NoError(p.t, err)
-	file := filepath.Join(p.t.TempDir(), "settings.json")
-	require.NoError(p.t, os.WriteFile(file, b, 0o600))
-	return file
+	require.NoError(p.t, os.WriteFile(p.settings, b, 0o600))
 }
 
 // run starts the process and ends it with the test.
-func (p *process) run(settings string) {
+func (p *process) run() {
 	self, err := os.Executable()
 	require.NoError(p.t, err)
-	p.cmd = exec.Command(self, program, "site", "-settings", settings)
-	p.cmd.Env = []string{maxFilesVariable + "=" + strconv.Itoa(p.limits.maxFiles)}
+	p.log, p.ended = new(bytes.Buffer), make(chan error, 1)
+	cmd, log, ended := exec.Command(self, program, "site", "-settings", p.settings), p.log, p.ended
+	p.cmd = cmd
+	p.cmd.Env = p.env
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	require.NoError(p.t, p.cmd.Start())
-	go func() { p.ended <- p.cmd.Wait() }()
+	go func() { ended <- cmd.Wait() }()
 	p.t.Cleanup(func() {
-		_ = p.cmd.Process.Kill()
-		if err := <-p.ended; p.t.Failed() {
-			p.t.Logf("the process ended: %v; its last lines:\n%s", err, p.log.Bytes()[max(0, p.log.Len()-2000):])
+		_ = cmd.Process.Kill()
+		if err := <-ended; p.t.Failed() {
+			p.t.Logf("the process ended: %v; its last lines:\n%s", err, log.Bytes()[max(0, log.Len()-2000):])
 		}
 	})
 }
@@ -185,6 +233,12 @@
 func (p *process) requireCleanEnd() {
 	p.t.Helper()
 	require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGTERM))
+	p.requireEnded()
+}
+
+// requireEnded requires that the process ends by itself, without an error.
+func (p *process) requireEnded() {
+	p.t.Helper()
 	select {
 	case err := <-p.ended:
 		p.ended <- err
--- /dev/null
+++ b/goldcreststand/internal/crowd/tally_test.go
@@ -0,0 +1,80 @@
+package crowd
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// tally counts what became of requests.
+type tally struct {
+	t          *testing.T
+	deployment deployment
+
+	mu sync.Mutex
+	// late counts those whose connection ended later than lossSlack.
+	fates, late [numFates]int
+	statuses    map[int]int
+	failures    []string
+}
+
+func newTally(t *testing.T, d deployment) *tally {
+	return &tally{t: t, deployment: d, statuses: make(map[int]int)}
+}
+
+func (t *tally) count(f fate) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fates[f]++
+}
+
+func (t *tally) status(code int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.statuses[code]++
+}
+
+func (t *tally) fail(format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failures = append(t.failures, fmt.Sprintf(format, args...))
+}
+
+// lost records a request without a response.
+func (t *tally) lost(l *link, r *request, f fate) {
+	after := time.Since(r.sent)
+	sinceAnswer := time.Duration(-1)
+	if !l.lastAnswer.IsZero() {
+		sinceAnswer = r.sent.Sub(l.lastAnswer)
+	}
+	if f == fateReadAndCut || f == fatePassedOnAndCut {
+		t.fail("%v: request %q, connection ended %v after it, %v after the last response: %v", f, r.id, after, sinceAnswer, l.cause)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fates[f]++
+	if after > lossSlack {
+		t.late[f]++
+	}
+}
+
+// requireNoneLost logs the counts and requires that each request was answered that the instance has read.
+func (t *tally) requireNoneLost() {
+	t.t.Helper()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for f := range numFates {
+		if t.fates[f] > 0 {
+			t.t.Logf("%v: %d, later than %v: %d", f, t.fates[f], lossSlack, t.late[f])
+		}
+	}
+	t.t.Logf("statuses: %v", t.statuses)
+	const shown = 10
+	for _, f := range t.failures[:min(shown, len(t.failures))] {
+		t.t.Log(f)
+	}
+	require.Zero(t.t, len(t.failures), "requests that were read and got no response, or other failures")
+}
