http1: only the reader ends an idle connection

Cause: the search for idle connections and Shutdown closed a connection on which they saw no call, from their own goroutines, while the connection's reader had taken a request from the socket or was about to. A process that is short of processor time widens this window, and makes both due at the same moment. The end of a call also closed its connection behind a response that did not say so.

A close of an idle connection is now a request to its reader, whose pending read is interrupted. The reader ends the connection unless bytes have arrived, also ones that it has not read yet; these are served, and in a stop their response says that the connection ends. Nobody else knows what the reader has taken, so that no further check could close the window. Shutdown keeps a connection for a second after its last response: its caller may not have read it, and a reset would discard it.

In TestShutdownAnswersARequestBehindAResponseThatKeepsTheConnection the clock is advanced, since a connection that was just answered is not closed at once.

--- a/goldcreststand/internal/http1/call.go
+++ b/goldcreststand/internal/http1/call.go
@@ -185,8 +185,8 @@
 	c.calls = slices.Delete(c.calls, 0, 1)
 	c.release(x)
 	unread := x.body != nil && !x.body.complete.Load()
-	if cause == endNone && c.ending && len(c.calls) == 0 && (!unread || c.unreadable) {
-		cause = endStopping
+	if cause == endNone && c.unreadable && len(c.calls) == 0 {
+		cause = endResponse
 	}
 	if cause != endNone {
 		c.srv.metrics.Dropped.Add(int64(c.line.Len() - c.line.Started()))
--- a/goldcreststand/internal/http1/conn.go
+++ b/goldcreststand/internal/http1/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -29,8 +30,9 @@
 	// connection, and the caller could lose the response.
 	lingerTimeout = 500 * time.Millisecond
 	maxLinger     = 1 << 20
-	// newConnGrace is the time for which Shutdown keeps a connection on which nothing has arrived yet.
-	newConnGrace = time.Second
+	// settleTime is the time for which Shutdown keeps a connection that was accepted or answered before. Its next request may
+	// be on its way, and a close that crosses it resets the connection, by which the caller could lose the response.
+	settleTime = time.Second
 )
 
 // aLongTimeAgo is a deadline that ends a pending read.
@@ -79,14 +81,17 @@
 	oldest     time.Time
 	// ending is set when the connection ends after the calls that were read.
 	ending bool
+	// idleEnd is the cause for which the reader is to end the connection unless a request has arrived, or endNone.
+	idleEnd endCause
 	// sealed is set once a response has said that the connection ends. No call is added then either.
 	sealed bool
 	// unreadable is set after a body that was not read to its end.
 	unreadable bool
 	// linger is set if unread bytes may follow the last response.
 	linger bool
-	// waiting is set while the reader waits on wake, and reading while it reads a request that has begun to arrive.
-	waiting, reading bool
+	// waiting is set while the reader waits on wake, awaiting while it waits for the first byte of a request, and reading while it
+	// reads a request that has begun to arrive.
+	waiting, awaiting, reading bool
 	// deadlineSet is set if reads have a deadline.
 	deadlineSet bool
 	readerDone  bool
@@ -131,13 +136,10 @@
 	for {
 		c.mu.Lock()
 		switch {
-		case c.ending && len(c.calls) == 0:
-			c.closeLocked(endStopping)
-			fallthrough
 		case c.closing, c.sealed, c.line.Ended():
 			c.mu.Unlock()
 			return false
-		case c.line.MayRead(int(c.srv.ahead.Load())) && !c.ending && (len(c.calls) == 0 || c.account.MayReadAhead()):
+		case len(c.calls) == 0, c.line.MayRead(int(c.srv.ahead.Load())) && !c.ending && c.account.MayReadAhead():
 			c.mu.Unlock()
 			return true
 		}
@@ -184,16 +186,45 @@
 	if c.br.Buffered() == 0 {
 		c.shrink()
 	}
-	if _, err := c.br.Peek(1); err != nil {
+	c.mu.Lock()
+	c.awaiting = true
+	c.mu.Unlock()
+	_, err := c.br.Peek(1)
+	for c.interrupted(err) {
+		_, err = c.br.Peek(1)
+	}
+	if err != nil {
 		c.readFailed(err)
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = true
+	c.awaiting, c.reading = false, true
+	c.continueReading()
 	return !c.closing
 }
 
+// interrupted reports whether a read failed because the connection seemed idle, although bytes have arrived. A process that was
+// short of processor time may not have read them yet. The read may then be repeated.
+func (c *conn) interrupted(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleEnd == endNone || !errors.Is(err, os.ErrDeadlineExceeded) || !readable(c.nc) {
+		return false
+	}
+	c.continueReading()
+	return true
+}
+
+// continueReading lets the reader go on after interruptIdle. c.mu is locked.
+func (c *conn) continueReading() {
+	if c.idleEnd == endNone || c.closing {
+		return
+	}
+	c.idleEnd, c.deadlineSet = endNone, true
+	_ = c.nc.SetReadDeadline(time.Now().Add(c.srv.headerTimeout))
+}
+
 // readFailed handles an error of a read that did not end a head. An error other than a timeout means that the caller
 // has closed the connection.
 func (c *conn) readFailed(err error) {
@@ -204,7 +235,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.calls) == 0 {
-		c.closeLocked(endTimeout)
+		c.closeLocked(cmp.Or(c.idleEnd, endTimeout))
 	}
 	if !c.closing {
 		_ = c.nc.SetReadDeadline(time.Time{})
@@ -344,25 +375,32 @@
 	c.ending = true
 }
 
-// closeIdle closes the connection if no call is in the line, and no byte of a request has arrived. A connection that was
-// accepted a moment ago is spared, because its request may not have been read yet.
-func (c *conn) closeIdle(now time.Time, cause endCause) {
+// closeIdle ends the connection if no call has been in the line for longer than the limit since the last one.
+func (c *conn) closeIdle(now time.Time, limit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	isNew := c.idleSince.IsZero() && now.Sub(c.accepted) < newConnGrace
-	if len(c.calls) == 0 && !c.reading && !isNew {
-		c.closeLocked(cause)
+	if !c.idleSince.IsZero() && now.Sub(c.idleSince) > limit {
+		c.interruptIdle(endIdle)
 	}
 }
 
-// idleFor returns the time for which no call has been in the line.
-func (c *conn) idleFor(now time.Time) time.Duration {
+// closeSettled ends the connection if it was neither accepted nor answered a moment ago and no call is in the line.
+func (c *conn) closeSettled(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idleSince.IsZero() || c.reading {
-		return 0
+	if now.Sub(c.accepted) >= settleTime && now.Sub(c.idleSince) >= settleTime {
+		c.interruptIdle(endStopping)
+	}
+}
+
+// interruptIdle lets the reader end the connection unless a request has arrived. No other goroutine can decide that: the
+// reader may have received a request that nobody else knows of yet. c.mu is locked.
+func (c *conn) interruptIdle(cause endCause) {
+	if c.closing || !c.awaiting || len(c.calls) > 0 {
+		return
 	}
-	return now.Sub(c.idleSince)
+	c.idleEnd = cause
+	_ = c.nc.SetReadDeadline(aLongTimeAgo)
 }
 
 // stalledFor returns the time for which a write has been pending.
--- a/goldcreststand/internal/http1/lostrequest_test.go
+++ b/goldcreststand/internal/http1/lostrequest_test.go
@@ -260,6 +260,8 @@
 				receive(t, b.reached)
 			}
 			done := s.shutdown()
+			// A connection that was just answered stays open for a moment.
+			s.clock.Advance(time.Second)
 			// By now the server has decided that the connections end after the calls that were read.
 			idle.requireEnd()
 			if !readAhead {
--- a/goldcreststand/internal/http1/server.go
+++ b/goldcreststand/internal/http1/server.go
@@ -213,9 +213,7 @@
 func (s *Server) closeStale() {
 	now, idle := s.clock.Now(), s.idleTimeout()
 	for _, c := range s.snapshot() {
-		if c.idleFor(now) > idle {
-			c.closeIdle(now, endIdle)
-		}
+		c.closeIdle(now, idle)
 		if c.stalledFor(now) > s.stallTimeout {
 			s.metrics.Stalled.Add(1)
 			s.log.Failure("closed the connection of a caller that does not read", logrus.Fields{"caller": c.remote})
@@ -250,7 +248,7 @@
 			c.endAfterRead()
 		}
 		for _, c := range conns {
-			c.closeIdle(s.clock.Now(), endStopping)
+			c.closeSettled(s.clock.Now())
 		}
 		select {
 		case <-ticker.C:
