intake: close a connection only if it is still without progress

Under pressure, connections without progress are chosen first and closed one after the other. One that got a whole request in between was closed with its call in progress. Each is now looked at again just before its close.

A request that is read in the instant of the close is still cut off; only an instance under pressure closes so.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -209,6 +209,12 @@
 	return out
 }
 
+// Stalled reports whether the connection has made no progress for as long as its phase allows.
+func (b *Budget) Stalled(now time.Time, id ConnID) bool {
+	c, ok := b.conns[id]
+	return ok && c.stalled(now, b.limits)
+}
+
 // relief is what must be given back to end the pressure. Amounts of memory are negative when there is no pressure.
 type relief struct {
 	conns                 map[Class]int
--- a/goldcreststand/internal/intake/gate.go
+++ b/goldcreststand/internal/intake/gate.go
@@ -97,22 +97,30 @@
 		return
 	}
 	victims := g.budget.Victims(g.now)
-	conns := make([]*Conn, 0, len(victims))
-	for _, v := range victims {
-		c := g.conns[v.ID]
-		conns = append(conns, c)
-		g.note(measure{action: actionClose, class: v.Class, cause: v.Cause.String()}, c, v)
-	}
 	g.mu.Unlock()
-	for i, c := range conns {
-		if victims[i].Phase == budget.PhaseSending {
-			// The end of the connection may otherwise look like the end of the answer.
-			_ = c.SetLinger(0)
+	for _, v := range victims {
+		if c := g.stillStalled(v); c != nil {
+			if v.Phase == budget.PhaseSending {
+				// The end of the connection may otherwise look like the end of the answer.
+				_ = c.SetLinger(0)
+			}
+			_ = c.Close()
 		}
-		_ = c.Close()
 	}
 }
 
+// stillStalled notes the measure and returns the connection, or nil if it has ended or made progress since it was chosen.
+func (g *Gate) stillStalled(v budget.Victim) *Conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.budget.Stalled(g.now, v.ID) {
+		return nil
+	}
+	c := g.conns[v.ID]
+	g.note(measure{action: actionClose, class: v.Class, cause: v.Cause.String()}, c, v)
+	return c
+}
+
 // waitForRoom returns when the class may have another connection, and reports whether it may; it may not once the channel is
 // closed.
 func (g *Gate) waitForRoom(class budget.Class, closed <-chan struct{}) bool {
