edge, platform: a response with two request ids belongs to no request

What a caller got: when the head of its response broke off behind the request id, and the server wrote another response on the same connection, a 200 with the status of the first and the body of the other one.

Cause: both heads are read as one, with two different ids, of which the first counted.

A head that broke off before its id, and that another response of the same call follows, still cannot be told from one head.

--- a/goldcreststand/internal/edge/fuzz_test.go
+++ b/goldcreststand/internal/edge/fuzz_test.go
@@ -29,7 +29,10 @@
 
 func (plainDialect) Prepare(http.Header, ident.ServerID, time.Duration, access.Caller) {}
 
-func (plainDialect) RequestID(h http.Header) ident.RequestID { return ident.RequestID(h.Get("Id")) }
+func (plainDialect) RequestID(h http.Header) ident.RequestID {
+	id, _ := header.Single(h, "Id")
+	return ident.RequestID(id)
+}
 
 func (plainDialect) ServerID(h http.Header) ident.ServerID { return ident.ServerID(h.Get("Server")) }
 
--- a/goldcreststand/internal/edge/harness_test.go
+++ b/goldcreststand/internal/edge/harness_test.go
@@ -73,7 +73,10 @@
 	h.Set(fieldTimeout, strconv.FormatInt(left.Milliseconds(), 10))
 }
 
-func (dialect) RequestID(h http.Header) ident.RequestID { return ident.RequestID(h.Get(fieldRequest)) }
+func (dialect) RequestID(h http.Header) ident.RequestID {
+	id, _ := header.Single(h, fieldRequest)
+	return ident.RequestID(id)
+}
 
 func (dialect) ServerID(h http.Header) ident.ServerID { return ident.ServerID(h.Get(fieldServer)) }
 
