goldload: a body that is not whole is a wrong response

A response with the start of the expected body counted as complete, so that a short body that is framed as whole was not seen. The whole line is compared now.

Evidence: TestShortBodyIsWrong failed without this change (after "GET /items/q1 ").

--- a/goldload/internal/load/runner.go
+++ b/goldload/internal/load/runner.go
@@ -171,14 +171,17 @@
 	if err != nil {
 		return verdictOfError(err), err
 	}
-	return verdictOfResponse(resp, method+" "+path, string(b)), nil
+	return verdictOfResponse(resp, method+" "+path, q.id, string(b)), nil
 }
 
 // verdictOfResponse compares a response with the one that fakebackend sends to the request.
-func verdictOfResponse(resp *http.Response, requestLine, body string) Verdict {
+func verdictOfResponse(resp *http.Response, requestLine, id, body string) Verdict {
 	proxyStatus := resp.Header.Get("Proxy-Status")
+	server, ok := strings.CutPrefix(body, requestLine+" "+id+" by ")
+	// The line break ends the body: without it a part is missing.
+	whole := ok && len(server) > 1 && strings.Index(server, "\n") == len(server)-1
 	switch {
-	case resp.StatusCode == http.StatusOK && strings.HasPrefix(body, requestLine+" "):
+	case resp.StatusCode == http.StatusOK && whole:
 		return VerdictComplete
 	case strings.Contains(proxyStatus, "executed=no"):
 		return VerdictRejected
