edge: a refusal that another response follows at once is none

What a caller could get: 503 for a call that its server had executed, and a second server could get the call, when a refusal broke off before its request id and the response to the call followed on the same connection.

Cause: both heads are read as one, with the status of the refusal and the id of the response.

A refusal is now believed only if none of its fields ends with the status line of another response. The caller gets 502 otherwise, which promises nothing.

--- a/goldcreststand/internal/edge/framing.go
+++ b/goldcreststand/internal/edge/framing.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"net/http"
 	"net/textproto"
+	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/zeebo/errs"
@@ -13,6 +15,9 @@
 // errFaultyFraming reports a response of which it is not certain where its body ends.
 var errFaultyFraming = errs.New("framing of the response is faulty")
 
+// statusLine matches a status line (RFC 9112, section 4).
+var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}( |$)`)
+
 // hasSpacedFraming reports whether a field that tells the end of the body has a space before its colon (RFC 9112, section
 // 5.1). net/http does not apply such a field.
 func hasSpacedFraming(h http.Header) bool {
@@ -53,3 +58,17 @@
 		return len(h["Transfer-Encoding"]) > 0
 	}
 }
+
+// hasStatusLine reports whether a field or the reason of the response ends with the status line of another one. The head of
+// the first then broke off there, and the rest is that of the other.
+func hasStatusLine(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
--- a/goldcreststand/internal/edge/truncatedhead_test.go
+++ b/goldcreststand/internal/edge/truncatedhead_test.go
@@ -173,6 +173,27 @@
 	}
 }
 
+// Guards against a refusal that breaks off and is followed by the response to the call, which was executed: both would be
+// taken for a refusal of the call, which is then sent again.
+func TestRefusalBeforeResponseIsNoRefusal(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nId: r1\r\nSig: s\r\nContent-Length: 5\r\n\r\nright"
+	for _, refusal := range []string{
+		"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nX: y\r\nId: r1\r\n",
+		"HTTP/1.1 503 Busy\r\nX: y\r\nNot-Executed: 1\r\nRetry-After: 1\r\n",
+	} {
+		for n := 1; n < len(refusal); n++ {
+			for _, piece := range []int{1, len(refusal) + len(response)} {
+				c := newCutConn(refusal[:n]+response, piece, io.EOF)
+				resp, _, err := c.roundTrip(plainDialect{}, &serverRequest{method: http.MethodGet, id: "r1"})
+				if err == nil {
+					require.False(t, resp.notExecuted, "%d bytes of the refusal: %q", n, refusal[:n])
+					require.True(t, claimsNotExecuted(resp), "the caller must get 502")
+				}
+			}
+		}
+	}
+}
+
 // Guards against a response whose framing is faulty (RFC 9112, sections 5.1, 6.1 and 6.3) and whose body is taken for a
 // whole one: where it ends is not known, or a peer may read it in another way.
 func TestFaultyFramingIsNoResponse(t *testing.T) {
