http1: steadier test of a stop behind a response that keeps the connection

The clock was advanced once, and the idle connection stayed open if its call ended after that: 2 of 40 runs with -race beside other load failed so.

--- a/goldcreststand/internal/http1/lostrequest_test.go
+++ b/goldcreststand/internal/http1/lostrequest_test.go
@@ -161,6 +161,23 @@
 	s.clock.Advance(d)
 }
 
+// requireIdleEnd requires that an idle connection ends as the time passes.
+func (s *lateServer) requireIdleEnd(c *caller) {
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		for {
+			select {
+			case <-time.After(10 * time.Millisecond):
+				s.clock.Advance(time.Second)
+			case <-ended:
+				return
+			}
+		}
+	}()
+	c.requireEnd()
+}
+
 // requireLast requires that the next response is the one to the request for the path, and says that the connection ends.
 func (c *caller) requireLast(path string) {
 	resp, b := c.next()
@@ -260,10 +277,8 @@
 				receive(t, b.reached)
 			}
 			done := s.shutdown()
-			// A connection that was just answered stays open for a moment.
-			s.clock.Advance(time.Second)
+			s.requireIdleEnd(idle)
 			// By now the server has decided that the connections end after the calls that were read.
-			idle.requireEnd()
 			if !readAhead {
 				c.get("/unsafe/2")
 			}
