boot, edge: a stop waits at most 500 ms for late timers

Cause: Shutdown first waits until timers fire on time. Under a cap they never do, so that the wait took all the time of the shutdown; then connections were searched once, and the process ended with calls in flight.

The wait is now bounded.

Evidence: TestShutdownDoesNotWaitForTimersThatStayLate failed before.

--- a/goldcreststand/internal/edge/server_test.go
+++ b/goldcreststand/internal/edge/server_test.go
@@ -33,6 +33,25 @@
 	require.NoError(t, <-done)
 }
 
+// Guards against a shutdown that spends all its time on waiting for timers, which are always late in a process with a cap on its
+// processor time, and then cuts off the calls that are being read.
+func TestShutdownDoesNotWaitForTimersThatStayLate(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := NewServer(New(staticSnapshots{new(spread.Snapshot)}, nil, nil, clock, nil, NewMetrics()), clock)
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context()) }()
+	for range int(boot.MaxTimerWait / (100 * time.Millisecond)) {
+		require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(100 * time.Millisecond)
+	}
+	select {
+	case err := <-done:
+		require.NoError(t, err)
+	case <-time.After(20 * time.Second):
+		require.FailNow(t, "the shutdown waits for timers that are late")
+	}
+}
+
 // Guards against a shutdown that never ends because timers stay late.
 func TestShutdownEndsWithItsContext(t *testing.T) {
 	clock := clockwork.NewFakeClock()
--- a/lib/boot/timers.go
+++ b/lib/boot/timers.go
@@ -13,12 +13,15 @@
 	// RequiredTimerChecks is the number of consecutive timers that must fire at most maxTimerDelay late.
 	RequiredTimerChecks = 3
 	maxTimerDelay       = 10 * time.Millisecond
+	// MaxTimerWait bounds the wait. The timers of a process with a cap on its processor time may always be late.
+	MaxTimerWait = 500 * time.Millisecond
 )
 
-// WaitForTimers waits until timers fire on time, or until the context ends. A process that is short of processor time has
-// then caught up on its work, such as reading the requests that have arrived.
+// WaitForTimers waits until timers fire on time, at most for MaxTimerWait and until the context ends. A process that is short
+// of processor time has then caught up on its work, such as reading the requests that have arrived.
 func WaitForTimers(ctx context.Context, clock clockwork.Clock) {
-	for n := 0; n < RequiredTimerChecks; n++ {
+	start := clock.Now()
+	for n := 0; n < RequiredTimerChecks && clock.Since(start) < MaxTimerWait; n++ {
 		at := clock.Now()
 		select {
 		case <-clock.After(TimerCheckInterval):
