http1, boot: the waits of a stop are parts of its time

Cause: the wait for late timers, 500 ms, and the time for which an answered connection is kept, a second, were longer than what was left of the stop, so that the process ended with open connections.

The wait takes at most half, and the keeping a quarter, of the time until the end of the shutdown.

--- a/goldcreststand/internal/http1/conn.go
+++ b/goldcreststand/internal/http1/conn.go
@@ -30,9 +30,11 @@
 	// connection, and the caller could lose the response.
 	lingerTimeout = 500 * time.Millisecond
 	maxLinger     = 1 << 20
-	// settleTime is the time for which Shutdown keeps a connection that was accepted or answered before. Its next request may
-	// be on its way, and a close that crosses it resets the connection, by which the caller could lose the response.
-	settleTime = time.Second
+	// maxSettleTime and settleFraction limit the time, and the part of the time for a shutdown, for which Shutdown keeps a
+	// connection that was accepted or answered before. Its next request may be on its way, and a close that crosses it resets
+	// the connection, by which the caller could lose the response.
+	maxSettleTime  = time.Second
+	settleFraction = 0.25
 )
 
 // aLongTimeAgo is a deadline that ends a pending read.
@@ -384,11 +386,11 @@
 	}
 }
 
-// closeSettled ends the connection if it was neither accepted nor answered a moment ago and no call is in the line.
-func (c *conn) closeSettled(now time.Time) {
+// closeSettled ends the connection if it was neither accepted nor answered within the time and no call is in the line.
+func (c *conn) closeSettled(now time.Time, settle time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.accepted) >= settleTime && now.Sub(c.idleSince) >= settleTime {
+	if now.Sub(c.accepted) >= settle && now.Sub(c.idleSince) >= settle {
 		c.interruptIdle(endStopping)
 	}
 }
--- a/goldcreststand/internal/http1/server.go
+++ b/goldcreststand/internal/http1/server.go
@@ -236,6 +236,10 @@
 // context ends. The last response on each connection says that the connection ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stop()
+	settle := maxSettleTime
+	if end, ok := ctx.Deadline(); ok {
+		settle = min(settle, time.Duration(settleFraction*float64(time.Until(end))))
+	}
 	ticker := time.NewTicker(shutdownInterval)
 	defer ticker.Stop()
 	for {
@@ -248,7 +252,7 @@
 			c.endAfterRead()
 		}
 		for _, c := range conns {
-			c.closeSettled(s.clock.Now())
+			c.closeSettled(s.clock.Now(), settle)
 		}
 		select {
 		case <-ticker.C:
--- a/lib/boot/timers.go
+++ b/lib/boot/timers.go
@@ -17,11 +17,14 @@
 	MaxTimerWait = 500 * time.Millisecond
 )
 
-// WaitForTimers waits until timers fire on time, at most for MaxTimerWait and until the context ends. A process that is short
-// of processor time has then caught up on its work, such as reading the requests that have arrived.
+// WaitForTimers waits until timers fire on time, at most for MaxTimerWait and half of the time until the context ends. A process
+// that is short of processor time has then caught up on its work, such as reading the requests that have arrived.
 func WaitForTimers(ctx context.Context, clock clockwork.Clock) {
-	start := clock.Now()
-	for n := 0; n < RequiredTimerChecks && clock.Since(start) < MaxTimerWait; n++ {
+	start, limit := clock.Now(), MaxTimerWait
+	if end, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(end)/2)
+	}
+	for n := 0; n < RequiredTimerChecks && clock.Since(start) < limit; n++ {
 		at := clock.Now()
 		select {
 		case <-clock.After(TimerCheckInterval):
