--- a/goldcreststand/internal/edge/server.go
+++ b/goldcreststand/internal/edge/server.go
@@ -39,9 +39,8 @@
 // Run closes the connections of idle callers until the context ends.
 func (s *Server) Run(ctx context.Context) { s.srv.Run(ctx) }
 
-// Shutdown closes the listener and idle connections, and waits for calls in flight until the context ends. A connection
-// counts as idle while an arrived request has not been read, so a process that is short of processor time first catches
-// up on reading.
+// Shutdown closes the listener, ends idle connections and waits for calls in flight until the context ends. Connections that wait
+// to be accepted are lost with the listener, so a process that is short of processor time first catches up on them.
 func (s *Server) Shutdown(ctx context.Context) error {
 	boot.WaitForTimers(ctx, s.clock)
 	return s.srv.Shutdown(ctx)
--- a/goldcreststand/internal/http1/body.go
+++ b/goldcreststand/internal/http1/body.go
@@ -269,7 +269,7 @@
 	}
 	c.ending, c.linger, c.unreadable = true, true, true
 	if len(c.calls) == 0 {
-		c.closeLocked(endResponse)
+		c.closeLocked(endTimeout)
 	}
 	return false
 }
--- a/goldcreststand/internal/http1/call.go
+++ b/goldcreststand/internal/http1/call.go
@@ -95,7 +95,11 @@
 			_ = x.c.write([]byte(x.fixed))
 		}
 		x.cancel()
-		x.end(endResponse, true)
+		cause := endResponse
+		if x.fixed == "" {
+			cause = endTimeout
+		}
+		x.end(cause, true)
 		return
 	}
 	aborted := x.serve()
@@ -186,7 +190,7 @@
 	c.release(x)
 	unread := x.body != nil && !x.body.complete.Load()
 	if cause == endNone && c.unreadable && len(c.calls) == 0 {
-		cause = endResponse
+		cause = endTimeout
 	}
 	if cause != endNone {
 		c.srv.metrics.Dropped.Add(int64(c.line.Len() - c.line.Started()))
--- a/goldcreststand/internal/http1/conn.go
+++ b/goldcreststand/internal/http1/conn.go
@@ -30,9 +30,9 @@
 	// connection, and the caller could lose the response.
 	lingerTimeout = 500 * time.Millisecond
 	maxLinger     = 1 << 20
-	// maxSettleTime and settleFraction limit the time, and the part of the time for a shutdown, for which Shutdown keeps a
-	// connection that was accepted or answered before. Its next request may be on its way, and a close that crosses it resets
-	// the connection, by which the caller could lose the response.
+	// maxSettleTime and settleFraction, a fraction of the time for the shutdown, limit how long Shutdown keeps a connection open
+	// after it was accepted or last answered. A request may be on its way, and closing then resets the connection, which can
+	// discard a response that the caller has not read.
 	maxSettleTime  = time.Second
 	settleFraction = 0.25
 )
@@ -75,16 +75,16 @@
 	running int
 	// body is the body that is read from the connection at present. The reader waits for its end.
 	body *body
-	// closing is set once a response has ended the connection, or the caller has left. No call is added then. cause is the
-	// reason, unanswered the number of calls in the line at that time, and oldest when the first of them was read.
+	// closing is set once the connection has ended. No call is added then. cause is the reason, unanswered the number of calls
+	// that were read and not answered, and oldest when the first of those in the line was read.
 	closing    bool
 	cause      endCause
 	unanswered int
 	oldest     time.Time
-	// ending is set when the connection ends after the calls that were read.
+	// ending is set when the connection is to end after the calls that were read. Nothing is read ahead then.
 	ending bool
-	// idleEnd is the cause for which the reader is to end the connection unless a request has arrived, or endNone.
-	idleEnd endCause
+	// pendingEnd is the cause for which the reader is to end the connection unless a request has arrived, or endNone.
+	pendingEnd endCause
 	// sealed is set once a response has said that the connection ends. No call is added then either.
 	sealed bool
 	// unreadable is set after a body that was not read to its end.
@@ -192,7 +192,7 @@
 	c.awaiting = true
 	c.mu.Unlock()
 	_, err := c.br.Peek(1)
-	for c.interrupted(err) {
+	for c.resumeRead(err) {
 		_, err = c.br.Peek(1)
 	}
 	if err != nil {
@@ -206,38 +206,42 @@
 	return !c.closing
 }
 
-// interrupted reports whether a read failed because the connection seemed idle, although bytes have arrived. A process that was
-// short of processor time may not have read them yet. The read may then be repeated.
-func (c *conn) interrupted(err error) bool {
+// resumeRead reports whether a read that failed with the error may be repeated: it was interrupted by interruptReader, and bytes have
+// arrived, which a process that is short of processor time may not have read yet. The interrupt is over then.
+func (c *conn) resumeRead(err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idleEnd == endNone || !errors.Is(err, os.ErrDeadlineExceeded) || !readable(c.nc) {
+	if c.pendingEnd == endNone || !errors.Is(err, os.ErrDeadlineExceeded) || !readable(c.nc) {
 		return false
 	}
 	c.continueReading()
 	return true
 }
 
-// continueReading lets the reader go on after interruptIdle. c.mu is locked.
+// continueReading lets the reader go on after interruptReader. c.mu is locked.
 func (c *conn) continueReading() {
-	if c.idleEnd == endNone || c.closing {
+	if c.pendingEnd == endNone || c.closing {
 		return
 	}
-	c.idleEnd, c.deadlineSet = endNone, true
+	c.pendingEnd, c.deadlineSet = endNone, true
 	_ = c.nc.SetReadDeadline(time.Now().Add(c.srv.headerTimeout))
 }
 
 // readFailed handles an error of a read that did not end a head. An error other than a timeout means that the caller
 // has closed the connection.
 func (c *conn) readFailed(err error) {
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case errors.Is(err, net.ErrClosed):
+		c.abandon(endBudget)
+		return
+	case !errors.Is(err, os.ErrDeadlineExceeded):
 		c.abandon(endCallerClosed)
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.calls) == 0 {
-		c.closeLocked(cmp.Or(c.idleEnd, endTimeout))
+		c.closeLocked(cmp.Or(c.pendingEnd, endTimeout))
 	}
 	if !c.closing {
 		_ = c.nc.SetReadDeadline(time.Time{})
@@ -324,9 +328,13 @@
 		return
 	}
 	c.srv.metrics.Unanswered.Add(c.cause.String(), 1)
+	if c.cause == endCallerClosed {
+		// The handler reports the calls of a caller that has left.
+		return
+	}
 	f := logrus.Fields{
 		"caller": c.remote, "cause": c.cause.String(), "calls": c.unanswered, "reading": c.reading, "buffered": buffered,
-		"discarded": discarded, "announced": c.sealed,
+		"discarded": discarded, "announced": c.sealed || c.cause == endResponse,
 	}
 	if !c.oldest.IsZero() {
 		f["ms"] = c.srv.clock.Since(c.oldest).Milliseconds()
@@ -339,7 +347,8 @@
 	if c.closing {
 		return
 	}
-	c.closing, c.cause, c.unanswered = true, cause, len(c.calls)
+	c.closing, c.cause = true, cause
+	c.unanswered += len(c.calls)
 	if len(c.calls) > 0 {
 		c.oldest = c.calls[0].readAt
 	}
@@ -377,31 +386,31 @@
 	c.ending = true
 }
 
-// closeIdle ends the connection if no call has been in the line for longer than the limit since the last one.
-func (c *conn) closeIdle(now time.Time, limit time.Duration) {
+// endIfIdle ends the connection if it has been idle for longer than the limit.
+func (c *conn) endIfIdle(now time.Time, limit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.idleSince.IsZero() && now.Sub(c.idleSince) > limit {
-		c.interruptIdle(endIdle)
+		c.interruptReader(endIdle)
 	}
 }
 
-// closeSettled ends the connection if it was neither accepted nor answered within the time and no call is in the line.
-func (c *conn) closeSettled(now time.Time, settle time.Duration) {
+// endIfSettled ends the connection if it was neither accepted nor answered within the time and no call is in the line.
+func (c *conn) endIfSettled(now time.Time, settle time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now.Sub(c.accepted) >= settle && now.Sub(c.idleSince) >= settle {
-		c.interruptIdle(endStopping)
+		c.interruptReader(endStopping)
 	}
 }
 
-// interruptIdle lets the reader end the connection unless a request has arrived. No other goroutine can decide that: the
+// interruptReader lets the reader end the connection unless a request has arrived. No other goroutine can decide that: the
 // reader may have received a request that nobody else knows of yet. c.mu is locked.
-func (c *conn) interruptIdle(cause endCause) {
+func (c *conn) interruptReader(cause endCause) {
 	if c.closing || !c.awaiting || len(c.calls) > 0 {
 		return
 	}
-	c.idleEnd = cause
+	c.pendingEnd = cause
 	_ = c.nc.SetReadDeadline(aLongTimeAgo)
 }
 
--- a/goldcreststand/internal/http1/endcause.go
+++ b/goldcreststand/internal/http1/endcause.go
@@ -23,6 +23,8 @@
 	endStopping
 	// endStalled means that the caller did not read a response.
 	endStalled
+	// endBudget means that the budget closed the connection, which had made no progress.
+	endBudget
 	// endServerClosed means that the server was closed, with all connections.
 	endServerClosed // killed
 )
--- a/goldcreststand/internal/http1/endcause_enumer.go
+++ b/goldcreststand/internal/http1/endcause_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _endCauseName = "noneclosedresponseabortedidletimeoutstoppingstalledkilled"
+const _endCauseName = "noneclosedresponseabortedidletimeoutstoppingstalledbudgetkilled"
 
-var _endCauseIndex = [...]uint8{0, 4, 10, 18, 25, 29, 36, 44, 51, 57}
+var _endCauseIndex = [...]uint8{0, 4, 10, 18, 25, 29, 36, 44, 51, 57, 63}
 
-const _endCauseLowerName = "noneclosedresponseabortedidletimeoutstoppingstalledkilled"
+const _endCauseLowerName = "noneclosedresponseabortedidletimeoutstoppingstalledbudgetkilled"
 
 func (i endCause) String() string {
 	if i < 0 || i >= endCause(len(_endCauseIndex)-1) {
@@ -32,10 +32,11 @@
 	_ = x[endTimeout-(5)]
 	_ = x[endStopping-(6)]
 	_ = x[endStalled-(7)]
-	_ = x[endServerClosed-(8)]
+	_ = x[endBudget-(8)]
+	_ = x[endServerClosed-(9)]
 }
 
-var _endCauseValues = []endCause{endNone, endCallerClosed, endResponse, endAborted, endIdle, endTimeout, endStopping, endStalled, endServerClosed}
+var _endCauseValues = []endCause{endNone, endCallerClosed, endResponse, endAborted, endIdle, endTimeout, endStopping, endStalled, endBudget, endServerClosed}
 
 var _endCauseNameToValueMap = map[string]endCause{
 	_endCauseName[0:4]:   endNone,
@@ -46,7 +47,8 @@
 	_endCauseName[29:36]: endTimeout,
 	_endCauseName[36:44]: endStopping,
 	_endCauseName[44:51]: endStalled,
-	_endCauseName[51:57]: endServerClosed,
+	_endCauseName[51:57]: endBudget,
+	_endCauseName[57:63]: endServerClosed,
 }
 
 var _endCauseLowerNameToValueMap = map[string]endCause{
@@ -58,7 +60,8 @@
 	_endCauseLowerName[29:36]: endTimeout,
 	_endCauseLowerName[36:44]: endStopping,
 	_endCauseLowerName[44:51]: endStalled,
-	_endCauseLowerName[51:57]: endServerClosed,
+	_endCauseLowerName[51:57]: endBudget,
+	_endCauseLowerName[57:63]: endServerClosed,
 }
 
 var _endCauseNames = []string{
@@ -71,6 +74,7 @@
 	_endCauseName[36:44],
 	_endCauseName[44:51],
 	_endCauseName[51:57],
+	_endCauseName[57:63],
 }
 
 // endCauseString retrieves an enum value from the enum constants string name.
--- a/goldcreststand/internal/http1/server.go
+++ b/goldcreststand/internal/http1/server.go
@@ -213,7 +213,7 @@
 func (s *Server) closeStale() {
 	now, idle := s.clock.Now(), s.idleTimeout()
 	for _, c := range s.snapshot() {
-		c.closeIdle(now, idle)
+		c.endIfIdle(now, idle)
 		if c.stalledFor(now) > s.stallTimeout {
 			s.metrics.Stalled.Add(1)
 			s.log.Failure("closed the connection of a caller that does not read", logrus.Fields{"caller": c.remote})
@@ -232,8 +232,8 @@
 	return out
 }
 
-// Shutdown closes the listeners and the idle connections, and waits until the calls that were read are answered or the
-// context ends. The last response on each connection says that the connection ends.
+// Shutdown closes the listeners and ends the idle connections, and waits until the calls that were read are answered or the
+// context ends. Responses that are written from now on say that their connection ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stop()
 	settle := maxSettleTime
@@ -252,7 +252,7 @@
 			c.endAfterRead()
 		}
 		for _, c := range conns {
-			c.closeSettled(s.clock.Now(), settle)
+			c.endIfSettled(s.clock.Now(), settle)
 		}
 		select {
 		case <-ticker.C:
