--- a/goldcreststand/internal/edge/conn.go
+++ b/goldcreststand/internal/edge/conn.go
@@ -126,7 +126,7 @@
 // readHead reads the head of a response to the request. The reader of its body must lift the limit of the head.
 func (c *conn) readHead(r *http.Request) (*http.Response, error) {
 	c.limit.startHead()
-	oldEncoding := hasOldEncoding(c.br)
+	earlyEncoding := hasEncodingBeforeHTTP11(c.br)
 	resp, err := http.ReadResponse(c.br, r)
 	switch {
 	case err != nil && c.limit.left <= 0:
@@ -136,7 +136,7 @@
 		return nil, err
 	case len(resp.Header) > maxResponseFields:
 		return nil, errResponseTooLarge
-	case oldEncoding, hasSpacedFraming(resp.Header):
+	case earlyEncoding, hasSpacedFraming(resp.Header):
 		return nil, errFaultyFraming
 	}
 	return resp, nil
--- a/goldcreststand/internal/edge/framing.go
+++ b/goldcreststand/internal/edge/framing.go
@@ -33,9 +33,9 @@
 	return false
 }
 
-// hasOldEncoding reports whether the next response has a version below HTTP/1.1 and a Transfer-Encoding, and so a faulty
+// hasEncodingBeforeHTTP11 reports whether the next response has a version below HTTP/1.1 and a Transfer-Encoding, and so a faulty
 // framing (RFC 9112, section 6.1). net/http drops that field. Only the part of the head that fits into the buffer counts.
-func hasOldEncoding(br *bufio.Reader) bool {
+func hasEncodingBeforeHTTP11(br *bufio.Reader) bool {
 	const http11 = "HTTP/1.1"
 	if b, err := br.Peek(len(http11)); err != nil || string(b) == http11 {
 		return false
@@ -59,7 +59,7 @@
 	}
 }
 
-// hasStatusLine reports whether a field or the reason of the response ends with the status line of another one. The head of
+// hasStatusLine reports whether a field or the reason of the response contains the status line of another one. The head of
 // the first then broke off there, and the rest is that of the other.
 func hasStatusLine(resp *http.Response) bool {
 	if statusLine.MatchString(resp.Status) {
