--- a/goldcreststand/internal/intake/relief_test.go
+++ b/goldcreststand/internal/intake/relief_test.go
@@ -53,3 +53,33 @@
 	closed := caller.SetReadDeadline(time.Now()) != nil
 	require.False(t, read && closed, "the connection was closed with a call in progress")
 }
+
+// slowRead is a connection whose reader is stopped once a read has taken bytes, as in a process that is short of processor time.
+type slowRead struct {
+	net.Conn
+	taken, release chan struct{}
+}
+
+func (c *slowRead) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	close(c.taken)
+	<-c.release
+	return n, err
+}
+
+// Guards against a search under pressure that closes a connection as idle while its reader has just taken a request.
+func TestReliefSparesAConnectionWhoseRequestIsBeingRead(t *testing.T) {
+	f := newFixture(t)
+	conn, caller := f.accept()
+	f.accept()
+	slow := &slowRead{Conn: conn.Conn, taken: make(chan struct{}), release: make(chan struct{})}
+	conn.Conn = slow
+	read := make(chan error, 1)
+	go func() { read <- f.receive(conn, caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") }()
+	<-slow.taken
+	f.advance(time.Second / 2)
+	close(slow.release)
+	require.NoError(t, <-read)
+	// A pipe takes no deadline once a side is closed.
+	require.NoError(t, caller.SetReadDeadline(time.Now()), "the connection was closed with a request that was read")
+}
