intake: the reader of an idle connection closes it under pressure

What callers saw: under pressure, a request on a kept connection got neither a response nor a refusal.

A connection whose reader waits for the next request is now closed by that reader, whose pending read is interrupted; bytes that it receives meanwhile spare the connection. Others are closed as before.

--- a/goldcreststand/internal/intake/conn.go
+++ b/goldcreststand/internal/intake/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"goldcreststand.example/core/budget"
 )
@@ -27,19 +28,63 @@
 	requests int
 	// writers is the number of writes that the other side has not taken.
 	writers int
+	// reading is set from the begin of a read until what it has received is counted.
+	reading bool
+	// evicted is set while the reader is asked to close the connection unless bytes arrive.
+	evicted bool
+	// readDeadline is the deadline that the reader has set.
+	readDeadline time.Time
 }
 
+// aLongTimeAgo is a deadline that ends a pending read.
+var aLongTimeAgo = time.Unix(1, 0)
+
 // Read receives bytes. It closes the connection when there is no room for the head or the message that they belong to; nothing of
 // it was passed on.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.gate.beginRead(c)
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.gate.received(c, p[:n]) {
+	switch {
+	case n > 0 && !c.gate.received(c, p[:n]):
 		_ = c.Close()
 		return 0, errNoRoom
+	case n == 0 && c.gate.endRead(c):
+		_ = c.Close()
+		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
+// SetReadDeadline sets the deadline of reads. It takes effect once the reader is no longer asked to close the connection.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.readDeadline = t
+	if c.evicted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline sets the deadlines of reads and writes.
+func (c *Conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// evict asks the reader to close the connection unless bytes arrive, and reports whether it was not asked before. The caller
+// holds the gate's lock.
+func (c *Conn) evict() bool {
+	if c.evicted {
+		return false
+	}
+	c.evicted = true
+	_ = c.Conn.SetReadDeadline(aLongTimeAgo)
+	return true
+}
+
 // maxWrite limits the bytes of a write, after which the other side has made progress.
 const maxWrite = 16 << 10
 
@@ -64,10 +109,30 @@
 	return c.Conn.Close()
 }
 
+// beginRead notes that a read begins.
+func (g *Gate) beginRead(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.reading = true
+}
+
+// endRead notes that a read has received nothing, and reports whether the reader was asked to close the connection.
+func (g *Gate) endRead(c *Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.reading = false
+	return c.evicted
+}
+
 // received counts received bytes and reports whether there is room for them.
 func (g *Gate) received(c *Conn, p []byte) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	c.reading = false
+	if c.evicted {
+		c.evicted = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
 	if c.requests == 0 && c.writers == 0 {
 		g.budget.Enter(g.now, c.id, budget.PhaseReceiving)
 	}
--- a/goldcreststand/internal/intake/gate.go
+++ b/goldcreststand/internal/intake/gate.go
@@ -99,7 +99,7 @@
 	victims := g.budget.Victims(g.now)
 	g.mu.Unlock()
 	for _, v := range victims {
-		if c := g.stillStalled(v); c != nil {
+		if c := g.withdraw(v); c != nil {
 			if v.Phase == budget.PhaseSending {
 				// The end of the connection may otherwise look like the end of the answer.
 				_ = c.SetLinger(0)
@@ -109,15 +109,24 @@
 	}
 }
 
-// stillStalled notes the measure and returns the connection, or nil if it has ended or made progress since it was chosen.
-func (g *Gate) stillStalled(v budget.Victim) *Conn {
+// withdraw returns the connection for the caller to close. It returns nil if the connection has ended or made progress since it
+// was chosen, and if its reader waits for the next request: only that one knows whether it has just received one, and is asked
+// to close the connection.
+func (g *Gate) withdraw(v budget.Victim) *Conn {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.budget.Stalled(g.now, v.ID) {
 		return nil
 	}
 	c := g.conns[v.ID]
+	byReader := v.Phase == budget.PhaseIdle && c.reading
+	if byReader && !c.evict() {
+		return nil
+	}
 	g.note(measure{action: actionClose, class: v.Class, cause: v.Cause.String()}, c, v)
+	if byReader {
+		return nil
+	}
 	return c
 }
 
