http1: a request that was received is answered though the connection ends

What callers saw: in a planned stop, a request that had arrived in one piece with the one before it was dropped behind the response to that one, which said that the connection ends. Callers may send it again, but it had been received.

Cause: the handler of the first call announces the end, and the reader reads nothing ahead from then on, also what lies in its buffer.

--- a/goldcreststand/internal/http1/conn.go
+++ b/goldcreststand/internal/http1/conn.go
@@ -81,7 +81,7 @@
 	cause      endCause
 	unanswered int
 	oldest     time.Time
-	// ending is set when the connection is to end after the calls that were read. Nothing is read ahead then.
+	// ending is set when the connection is to end after the calls that were read. Nothing is received ahead then.
 	ending bool
 	// pendingEnd is the cause for which the reader is to end the connection unless a request has arrived, or endNone.
 	pendingEnd endCause
@@ -141,7 +141,7 @@
 		case c.closing, c.sealed, c.line.Ended():
 			c.mu.Unlock()
 			return false
-		case len(c.calls) == 0, c.line.MayRead(int(c.srv.ahead.Load())) && !c.ending && c.account.MayReadAhead():
+		case len(c.calls) == 0, c.line.MayRead(int(c.srv.ahead.Load())) && (!c.ending || c.hasHead()) && c.account.MayReadAhead():
 			c.mu.Unlock()
 			return true
 		}
@@ -149,6 +149,14 @@
 	}
 }
 
+// hasHead reports whether the buffer contains the whole head of the next request. Such a request is answered also if the connection
+// is to end.
+func (c *conn) hasHead() bool {
+	b, _ := c.br.Peek(c.br.Buffered())
+	n, _, err := endOfHead(b, 0)
+	return n > 0 || err != nil
+}
+
 // pause waits until the reader is woken. With check it finds out whether the caller has closed the connection. It unlocks
 // c.mu.
 func (c *conn) pause(check bool) {
--- a/goldcreststand/internal/http1/holding_test.go
+++ b/goldcreststand/internal/http1/holding_test.go
@@ -20,7 +20,7 @@
 type account struct {
 	mu      sync.Mutex
 	refused map[budget.Item]bool
-	noAhead bool
+	noAhead atomic.Bool
 	held    map[budget.Item]int64
 	calls   int
 }
@@ -53,7 +53,7 @@
 
 func (a *account) Return(item budget.Item, n int64) { a.Take(item, -n) }
 
-func (a *account) MayReadAhead() bool { return !a.noAhead }
+func (a *account) MayReadAhead() bool { return !a.noAhead.Load() }
 
 func (a *account) BeginCall() { a.add(1) }
 
@@ -125,7 +125,7 @@
 // Guards against requests that are read ahead under pressure, and against a connection that then hangs.
 func TestNothingIsReadAheadUnderPressure(t *testing.T) {
 	a, m := newAccount(), new(http1.Metrics)
-	a.noAhead = true
+	a.noAhead.Store(true)
 	c := newCaller(t, handler(echo), http1.WithBudget(a), http1.WithMetrics(m))
 	c.get("/safe/1", "/safe/2", "/unsafe/3")
 	require.Equal(t, []string{"/safe/1", "/safe/2", "/unsafe/3"}, c.bodies(3))
--- a/goldcreststand/internal/http1/lostrequest_test.go
+++ b/goldcreststand/internal/http1/lostrequest_test.go
@@ -279,7 +279,7 @@
 					<-release
 				}
 			}))
-			s.account.noAhead = !readAhead
+			s.account.noAhead.Store(!readAhead)
 			idle, _ := s.dial()
 			idle.get("/unsafe/0")
 			idle.bodies(1)
@@ -423,3 +423,24 @@
 	c.requireLast("/unsafe/2")
 	require.NoError(t, receive(t, done))
 }
+
+// Guards against a request that arrived with the one before it and is dropped, because the handler of that one announced the end
+// of the connection before the reader went on.
+func TestRequestThatHasArrivedIsAnsweredThoughTheConnectionEnds(t *testing.T) {
+	started, release := make(chan string, 2), make(chan struct{})
+	s := newLateServer(t, handler(func(w http.ResponseWriter, r *http.Request) {
+		w.(interface{ CloseAfterRead() }).CloseAfterRead()
+		started <- r.URL.Path
+		<-release
+		_, _ = io.WriteString(w, r.URL.Path)
+	}))
+	s.account.noAhead.Store(true)
+	c, _ := s.dial()
+	c.get("/safe/1", "/safe/2")
+	require.Equal(t, "/safe/1", receive(t, started))
+	s.account.noAhead.Store(false)
+	require.Equal(t, "/safe/2", receive(t, started))
+	close(release)
+	require.Equal(t, []string{"/safe/1"}, c.bodies(1))
+	c.requireLast("/safe/2")
+}
