--- a/goldcreststand/internal/http1/lostrequest_test.go
+++ b/goldcreststand/internal/http1/lostrequest_test.go
@@ -152,6 +152,36 @@
 	return c, receive(s.t, s.ln.conns)
 }
 
+// dialBeingRead returns a kept connection with a request for /unsafe/2, and a barrier at which its reader has just taken it.
+func (s *lateServer) dialBeingRead() (*caller, *lateConn, *barrier) {
+	c, nc := s.dial()
+	c.get("/unsafe/1")
+	c.bodies(1)
+	s.account.requireEmpty(s.t)
+	b := nc.stopAfterRead()
+	nc.forgetActions()
+	c.get("/unsafe/2")
+	receive(s.t, b.reached)
+	return c, nc, b
+}
+
+// dialArrived returns a kept connection on which a request for /unsafe/2 has arrived, and a barrier before its reader takes it.
+func (s *lateServer) dialArrived() (*caller, *lateConn, *barrier) {
+	c, nc := s.dial()
+	first := nc.stopAfterRead()
+	c.get("/unsafe/1")
+	receive(s.t, first.reached)
+	b := newBarrier()
+	nc.before.Store(b)
+	close(first.release)
+	c.bodies(1)
+	s.account.requireEmpty(s.t)
+	receive(s.t, b.reached)
+	nc.forgetActions()
+	c.get("/unsafe/2")
+	return c, nc, b
+}
+
 // shutdown starts the shutdown of the server.
 func (s *lateServer) shutdown() <-chan error {
 	done := make(chan error, 1)
@@ -203,14 +233,7 @@
 // Guards against a planned stop that takes a kept connection for idle although its reader has just read a request.
 func TestShutdownAnswersARequestThatIsBeingRead(t *testing.T) {
 	s := newLateServer(t, handler(echo))
-	c, nc := s.dial()
-	c.get("/unsafe/1")
-	c.bodies(1)
-	s.account.requireEmpty(t)
-	b := nc.stopAfterRead()
-	nc.forgetActions()
-	c.get("/unsafe/2")
-	receive(t, b.reached)
+	c, nc, b := s.dialBeingRead()
 	s.clock.Advance(time.Second)
 	done := s.shutdown()
 	nc.requireAction()
@@ -223,18 +246,7 @@
 // processor time to read.
 func TestShutdownAnswersARequestThatHasArrived(t *testing.T) {
 	s := newLateServer(t, handler(echo))
-	c, nc := s.dial()
-	first := nc.stopAfterRead()
-	c.get("/unsafe/1")
-	receive(t, first.reached)
-	b := newBarrier()
-	nc.before.Store(b)
-	close(first.release)
-	c.bodies(1)
-	s.account.requireEmpty(t)
-	receive(t, b.reached)
-	nc.forgetActions()
-	c.get("/unsafe/2")
+	c, nc, b := s.dialArrived()
 	s.clock.Advance(time.Second)
 	done := s.shutdown()
 	nc.requireAction()
@@ -321,14 +333,7 @@
 // Guards against an idle timeout that closes a connection although its reader has read a request within the timeout.
 func TestIdleTimeoutSparesARequestThatIsBeingRead(t *testing.T) {
 	s := newLateServer(t, handler(echo), withIdleTimeout())
-	c, nc := s.dial()
-	c.get("/unsafe/1")
-	c.bodies(1)
-	s.account.requireEmpty(t)
-	b := nc.stopAfterRead()
-	nc.forgetActions()
-	c.get("/unsafe/2")
-	receive(t, b.reached)
+	c, nc, b := s.dialBeingRead()
 	s.scan(2 * idleTimeout)
 	nc.requireAction()
 	close(b.release)
@@ -339,18 +344,7 @@
 // reader had no processor time to read.
 func TestIdleTimeoutSparesARequestThatHasArrived(t *testing.T) {
 	s := newLateServer(t, handler(echo), withIdleTimeout())
-	c, nc := s.dial()
-	first := nc.stopAfterRead()
-	c.get("/unsafe/1")
-	receive(t, first.reached)
-	b := newBarrier()
-	nc.before.Store(b)
-	close(first.release)
-	c.bodies(1)
-	s.account.requireEmpty(t)
-	receive(t, b.reached)
-	nc.forgetActions()
-	c.get("/unsafe/2")
+	c, nc, b := s.dialArrived()
 	s.scan(2 * idleTimeout)
 	nc.requireAction()
 	close(b.release)
@@ -360,14 +354,7 @@
 // Guards against an idle timeout that still ends a connection after it has spared a request.
 func TestConnectionStaysOpenBehindASparedRequest(t *testing.T) {
 	s := newLateServer(t, handler(echo), withIdleTimeout())
-	c, nc := s.dial()
-	c.get("/unsafe/1")
-	c.bodies(1)
-	s.account.requireEmpty(t)
-	b := nc.stopAfterRead()
-	nc.forgetActions()
-	c.get("/unsafe/2")
-	receive(t, b.reached)
+	c, nc, b := s.dialBeingRead()
 	s.scan(2 * idleTimeout)
 	nc.requireAction()
 	close(b.release)
