--- a/goldcreststand/internal/crowd/link_test.go
+++ b/goldcreststand/internal/crowd/link_test.go
@@ -30,29 +30,29 @@
 // lossSlack is the time after which the rules count a request as lost that was read and was not passed on.
 const lossSlack = 200 * time.Millisecond
 
-// fate is what became of a request.
-type fate int
+// outcome is how a request ended.
+type outcome int
 
 const (
-	fateAnswered fate = iota
-	// fateNotSent means that the connection had ended before the request was sent.
-	fateNotSent
-	// fateBehind means that the request was sent behind a response that says that the connection ends.
-	fateBehind
-	// fateUnread means that the request crossed the close of the connection and was not read whole.
-	fateUnread
-	// fateReset means that the connection was reset. Whether the request was read is not known.
-	fateReset
-	// fateReadAndCut means that the instance has read the whole request and closed the connection.
-	fateReadAndCut
-	// fatePassedOnAndCut means that the request has reached the backend server.
-	fatePassedOnAndCut
-	numFates
+	outcomeAnswered outcome = iota
+	// outcomeNotSent means that the connection had ended before the request was sent.
+	outcomeNotSent
+	// outcomeBehind means that the request was sent behind a response that says that the connection ends.
+	outcomeBehind
+	// outcomeUnread means that the request crossed the close of the connection and was not read whole.
+	outcomeUnread
+	// outcomeReset means that the connection was reset. Whether the request was read is not known.
+	outcomeReset
+	// outcomeReadAndCut means that the instance has read the whole request and closed the connection.
+	outcomeReadAndCut
+	// outcomePassedOnAndCut means that the request has reached the backend server.
+	outcomePassedOnAndCut
+	numOutcomes
 )
 
-// String returns the name of the fate.
-func (f fate) String() string {
-	return [numFates]string{"answered", "not sent", "behind a closing response", "unread", "reset", "read and cut", "passed on and cut"}[f]
+// String returns the name of the outcome.
+func (f outcome) String() string {
+	return [numOutcomes]string{"answered", "not sent", "behind a closing response", "unread", "reset", "read and cut", "passed on and cut"}[f]
 }
 
 // request is a request on a link.
@@ -132,7 +132,7 @@
 	info, err := l.info()
 	if l.done || l.closing || err != nil || info.State != unix.BPF_TCP_ESTABLISHED {
 		for range rs {
-			l.tally.count(fateNotSent)
+			l.tally.count(outcomeNotSent)
 		}
 		return false
 	}
@@ -221,7 +221,7 @@
 	if id := resp.Header.Get("X-Goldcreststand-Request-Id"); id != r.id && resp.StatusCode == http.StatusOK {
 		l.tally.fail("response %q to request %q", id, r.id)
 	}
-	l.tally.count(fateAnswered)
+	l.tally.count(outcomeAnswered)
 	l.tally.status(resp.StatusCode)
 	return nil
 }
@@ -236,16 +236,16 @@
 	// Linux resets a connection that is closed with unread bytes. Without a reset, what was acknowledged was read.
 	clean := err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT
 	for _, r := range l.pending {
-		f := fateReset
+		f := outcomeReset
 		switch {
 		case l.tally.deployment.hasSeen(r.id):
-			f = fatePassedOnAndCut
+			f = outcomePassedOnAndCut
 		case l.closing:
-			f = fateBehind
+			f = outcomeBehind
 		case err == nil && info.Bytes_acked < l.acked+r.end:
-			f = fateUnread
+			f = outcomeUnread
 		case clean:
-			f = fateReadAndCut
+			f = outcomeReadAndCut
 		}
 		l.tally.lost(l, r, f)
 	}
--- a/goldcreststand/internal/crowd/process_test.go
+++ b/goldcreststand/internal/crowd/process_test.go
@@ -270,8 +270,8 @@
 	}
 }
 
-// freeze lets the process have no processor time until the returned function is called.
-func (p *process) freeze() (thaw func()) {
+// suspend lets the process have no processor time until the returned function is called.
+func (p *process) suspend() (resume func()) {
 	running := p.cmd.Process
 	_ = running.Signal(syscall.SIGSTOP)
 	return func() { _ = running.Signal(syscall.SIGCONT) }
@@ -289,9 +289,9 @@
 				return
 			case <-time.After(run):
 			}
-			thaw := p.freeze()
+			resume := p.suspend()
 			time.Sleep(pause)
-			thaw()
+			resume()
 		}
 	})
 	return func() {
--- a/goldcreststand/internal/crowd/stops_test.go
+++ b/goldcreststand/internal/crowd/stops_test.go
@@ -171,8 +171,8 @@
 		name := fmt.Sprintf("late-%d", n)
 		f := openIdleLinks(p, tl, *crossingConns, name)
 		time.Sleep(time.Until(check.Add(-late * 3 / 4)))
-		thaw := p.freeze()
-		time.AfterFunc(late, thaw)
+		resume := p.suspend()
+		time.AfterFunc(late, resume)
 		f.begin()
 		f.cross(name, rng)
 	}
--- a/goldcreststand/internal/crowd/tally_test.go
+++ b/goldcreststand/internal/crowd/tally_test.go
@@ -9,26 +9,26 @@
 	"github.com/stretchr/testify/require"
 )
 
-// tally counts what became of requests.
+// tally counts the outcomes of requests.
 type tally struct {
 	t          *testing.T
 	deployment deployment
 
 	mu sync.Mutex
 	// late counts those whose connection ended later than lossSlack.
-	fates, late [numFates]int
-	statuses    map[int]int
-	failures    []string
+	outcomes, late [numOutcomes]int
+	statuses       map[int]int
+	failures       []string
 }
 
 func newTally(t *testing.T, d deployment) *tally {
 	return &tally{t: t, deployment: d, statuses: make(map[int]int)}
 }
 
-func (t *tally) count(f fate) {
+func (t *tally) count(f outcome) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.fates[f]++
+	t.outcomes[f]++
 }
 
 func (t *tally) status(code int) {
@@ -44,18 +44,18 @@
 }
 
 // lost records a request without a response.
-func (t *tally) lost(l *link, r *request, f fate) {
+func (t *tally) lost(l *link, r *request, f outcome) {
 	after := time.Since(r.sent)
 	sinceAnswer := time.Duration(-1)
 	if !l.lastAnswer.IsZero() {
 		sinceAnswer = r.sent.Sub(l.lastAnswer)
 	}
-	if f == fateReadAndCut || f == fatePassedOnAndCut {
+	if f == outcomeReadAndCut || f == outcomePassedOnAndCut {
 		t.fail("%v: request %q, connection ended %v after it, %v after the last response: %v", f, r.id, after, sinceAnswer, l.cause)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.fates[f]++
+	t.outcomes[f]++
 	if after > lossSlack {
 		t.late[f]++
 	}
@@ -66,9 +66,9 @@
 	t.t.Helper()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for f := range numFates {
-		if t.fates[f] > 0 {
-			t.t.Logf("%v: %d, later than %v: %d", f, t.fates[f], lossSlack, t.late[f])
+	for f := range numOutcomes {
+		if t.outcomes[f] > 0 {
+			t.t.Logf("%v: %d, later than %v: %d", f, t.outcomes[f], lossSlack, t.late[f])
 		}
 	}
 	t.t.Logf("statuses: %v", t.statuses)
