intake: count heads until net/http has released them

Callers saw: a process that may exceed the memory of its machine.

Cause of what is fixed here: at the addresses for readiness, lookups and metrics, a head was counted until the handler returned. After that net/http waits up to 5 s for the rest of the body, and holds the parsed head. An address may have half of its connections in this state, which is 66 with the limits of the test; 66 heads of 2,000 fields held 20 MB of heap and counted 1.1 MB (memstats and the gate's usage in one reply). These come on top of the 24 MB that the budget allows.

The head is now counted until net/http says that the connection is idle, or it ends. The phase still changes with the end of the handler, so that such connections are closed under pressure as before.

TestHeadIsCountedUntilBodyHasEnded fails if the head is given back when the handler returns. TestTrackedHeadIsGivenBack and TestTrackEndsAtBody asked that nothing is counted once the handler has returned, which was the fault; they ask the same of the time at which net/http releases the request, and the first also that the head is counted until then.

--- a/goldcreststand/internal/cmd/listener.go
+++ b/goldcreststand/internal/cmd/listener.go
@@ -66,7 +66,8 @@
 	l := &listener{name: class.String(), address: address, class: class}
 	l.srv = &http.Server{
 		Handler: l.announceEnd(intake.Track(h)), MaxHeaderBytes: maxControlHeader, ReadHeaderTimeout: controlTimeout,
-		ReadTimeout: controlTimeout, WriteTimeout: controlTimeout, IdleTimeout: controlIdleTimeout, ConnContext: intake.WithConn,
+		ReadTimeout: controlTimeout, WriteTimeout: controlTimeout, IdleTimeout: controlIdleTimeout,
+		ConnContext: intake.WithConn, ConnState: intake.ConnState,
 		// net/http would answer OPTIONS * without the handler, and what such requests hold would stay counted.
 		DisableGeneralOptionsHandler: true,
 	}
--- a/goldcreststand/internal/crowd/pressure_test.go
+++ b/goldcreststand/internal/crowd/pressure_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -56,6 +57,21 @@
 	})
 }
 
+// Guards against requests whose handler has returned and whose body has not ended: net/http keeps the head until then, and the
+// heads at several addresses take the memory together.
+func TestUnfinishedBodiesAtSeveralAddresses(t *testing.T) {
+	p := start(t, lowMemory())
+	for _, e := range slices.Backward(httpEntryPoints()) {
+		// Less than half of the connections that an address for readiness, lookups or metrics may have. Above it such requests are
+		// refused.
+		p.gather(e.at(p), 60, send(head("POST", e.path, "Content-Length: 2")+shortFields(2000)+"\r\n1"))
+	}
+	p.requireWithinLimits()
+	p.requireReadyAnswer()
+	p.requireOrdinaryCall()
+	p.requireWithinLimits()
+}
+
 // Guards against connections that keep the memory of the heads of earlier requests while they are idle.
 func TestIdleAfterManyFields(t *testing.T) {
 	press(t, lowMemory(), httpEntryPoints(), 400, func(path string) client {
--- a/goldcreststand/internal/intake/gate_test.go
+++ b/goldcreststand/internal/intake/gate_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -175,7 +176,9 @@
 		// Bytes behind the head are not parsed.
 		require.NoError(t, f.receive(c, from, "body"))
 		require.Equal(t, ident.Bytes(600+90*200), f.held())
-		c.endTracked(90, 600)
+		c.endTracked()
+		require.Equal(t, ident.Bytes(600+90*200), f.held())
+		ConnState(c, http.StateIdle)
 		require.Zero(t, f.held())
 	}
 }
@@ -304,6 +307,7 @@
 	require.NoError(t, err)
 	r.Header.Set("Field", "1")
 	h.ServeHTTP(nil, r)
+	ConnState(c, http.StateIdle)
 	require.Zero(t, f.held())
 	r.ContentLength = -1
 	w := httptest.NewRecorder()
@@ -316,3 +320,59 @@
 	require.Equal(t, "1", f.measures("refuse.lookups.body"))
 	require.Equal(t, 1, f.gate.usage().Connections["lookups"])
 }
+
+// serveTracked serves lookups with a tracked handler, and returns a connection to it. A value is sent when the handler has returned.
+func (f *fixture) serveTracked() (nc net.Conn, returned chan struct{}) {
+	sock, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(f.t, err)
+	returned = make(chan struct{}, 16)
+	h := Track(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+			returned <- struct{}{}
+		}),
+		ReadHeaderTimeout: 10 * time.Second, ConnContext: WithConn, ConnState: ConnState,
+	}
+	go func() { _ = s.Serve(f.gate.Listener(sock, budget.ClassLookups)) }()
+	f.t.Cleanup(func() { _ = s.Close() })
+	nc, err = net.Dial("tcp", sock.Addr().String())
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = nc.Close() })
+	return nc, returned
+}
+
+// requireNothingHeld requires that soon no head is counted.
+func (f *fixture) requireNothingHeld() {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool { return f.held() == 0 }, 10*time.Second, time.Millisecond)
+}
+
+// Guards against heads that are no longer counted while net/http waits for the rest of a body and still holds them.
+func TestHeadIsCountedUntilBodyHasEnded(t *testing.T) {
+	f := newFixture(t)
+	nc, returned := f.serveTracked()
+	_, err := io.WriteString(nc, "POST / HTTP/1.1\r\nHost: a\r\nField: 1\r\nContent-Length: 2\r\n\r\n1")
+	require.NoError(t, err)
+	<-returned
+	require.Never(t, func() bool { return f.held() == 0 }, 50*time.Millisecond, time.Millisecond)
+	_, err = io.WriteString(nc, "2")
+	require.NoError(t, err)
+	f.requireNothingHeld()
+}
+
+// Guards against heads that stay counted on a connection that is kept.
+func TestHeadsOfKeptConnectionAreGivenBack(t *testing.T) {
+	f := newFixture(t)
+	nc, _ := f.serveTracked()
+	br := bufio.NewReader(nc)
+	for range 3 {
+		_, err := io.WriteString(nc, "GET / HTTP/1.1\r\nHost: a\r\nField: 1\r\n\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(br, nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		f.requireNothingHeld()
+		require.Equal(t, 1, f.gate.usage().Connections["lookups"])
+	}
+}
--- a/goldcreststand/internal/intake/track.go
+++ b/goldcreststand/internal/intake/track.go
@@ -25,8 +25,16 @@
 	return c, ok
 }
 
-// Track returns a handler that counts what requests without bodies hold while h serves them. After the response to a request
-// that has a body the connection ends. net/http waits for the rest of the body before that, so that such a request gets no
+// ConnState gives back the head of a request when net/http has released it. It is for servers whose handler is that of Track.
+// Connections that end give back all they hold by themselves.
+func ConnState(nc net.Conn, s http.ConnState) {
+	if c, ok := nc.(*Conn); ok && s == http.StateIdle {
+		c.releaseHead()
+	}
+}
+
+// Track returns a handler that counts what the heads of requests hold until ConnState gives it back. After the response to a
+// request that has a body the connection ends. net/http waits for the rest of the body before that, so that such a request gets no
 // response when many connections are open.
 func Track(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -42,7 +50,7 @@
 		if ok {
 			fields, size := headSize(r.Header)
 			c.beginTracked(fields, size)
-			defer c.endTracked(fields, size)
+			defer c.endTracked()
 		}
 		h.ServeHTTP(w, r)
 	})
@@ -74,15 +82,22 @@
 	c.gate.enter(c)
 }
 
-// endTracked gives back what beginTracked counted.
-func (c *Conn) endTracked(fields, size int64) {
+// endTracked notes that the handler has returned. The head stays counted, since net/http holds it until the rest of the body has
+// arrived and the response was taken.
+func (c *Conn) endTracked() {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	c.requests--
-	c.metering = true
-	c.gate.budget.Return(c.id, budget.ItemHead, size)
-	c.gate.budget.Return(c.id, budget.ItemField, fields)
 	c.gate.enter(c)
+}
+
+// releaseHead gives back the head of a request. The next bytes belong to another one.
+func (c *Conn) releaseHead() {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.metering = true
+	c.gate.budget.Release(c.id, budget.ItemHead)
+	c.gate.budget.Release(c.id, budget.ItemField)
 	c.gate.signalRoom()
 }
 
