crowd: pass the environment on to the program

The test binary replaced itself by the program without an environment, so that -crossing.env had no effect: runs by hand with GOMAXPROCS had the default. Found as GODEBUG=gctrace=1 printed nothing.

--- a/goldcreststand/internal/crowd/main_test.go
+++ b/goldcreststand/internal/crowd/main_test.go
@@ -8,7 +8,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -40,7 +42,8 @@
 	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n}); err != nil {
 		return err
 	}
-	return syscall.Exec(os.Args[1], os.Args[1:], nil)
+	env := slices.DeleteFunc(os.Environ(), func(v string) bool { return strings.HasPrefix(v, maxFilesVariable+"=") })
+	return syscall.Exec(os.Args[1], os.Args[1:], env)
 }
 
 // buildAndRun builds the program and runs the tests.
