intake, budget: garbage of control addresses counts until it is collected

Cause: the budget counts what is held, and left garbage to the limit of the collector. That limit does not hold on a busy machine. While a collection is under way, everything that is allocated survives it, and the runtime lets the heap grow to twice its goal. A trace of the collector beside a load of 28 on 8 processors, at the readiness address: "107 ms, 28->60->41 MB, 24 MB goal", the process took 70 MB. Each refused head leaves up to 300 KB, and the crowd of 300 connections sends 300 of them.

Ruled out: the number of processors, pauses of the whole process (SIGSTOP, at most 49 MB in 18), the responses of /debug/vars (48 KB of garbage each), incomplete heads (at most 47 MB). The crowd at the address for calls took at most 50 MB in 72, where refused heads are not parsed.

Why it works: heads that were given back still take room for further heads at these addresses, until a marker that was allocated after them is collected. Calls are not concerned. From half of the memory on, the collector runs at once, so that ordinary requests do not wait for the heap to grow.

TestHeadsFindNoRoomBesideGarbage and TestGarbageIsCountedUntilItIsCollected are new.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -46,6 +46,9 @@
 	callers, peers ident.Bytes
 	// long is the part of callers that are long bodies.
 	long ident.Bytes
+	// garbage is the memory of discarded heads that the garbage collector has not freed, and fresh the part of it since the last
+	// batch.
+	garbage, fresh ident.Bytes
 }
 
 // New returns a budget of which nothing is used.
@@ -81,6 +84,9 @@
 	if !ok {
 		return
 	}
+	if c.class.single() {
+		b.discard(c.held[ItemHead] + c.held[ItemField])
+	}
 	for _, item := range ItemValues() {
 		b.add(c, item, -c.held[item])
 	}
@@ -96,8 +102,11 @@
 	if !ok {
 		return false
 	}
-	cost := item.Cost(n)
-	if cost > 0 && *b.pool(c.class)+cost > b.limit(c.class, item) {
+	cost, used := item.Cost(n), *b.pool(c.class)
+	if c.class.single() {
+		used += b.garbage
+	}
+	if cost > 0 && used+cost > b.limit(c.class, item) {
 		return false
 	}
 	b.add(c, item, cost)
@@ -118,6 +127,39 @@
 	}
 }
 
+// Discard gives back the head of a request at an address for readiness checks, lookups or metrics. It is garbage until Collected.
+// Without that, a crowd that reconnects while a collection is slow would take memory for any number of heads.
+func (b *Budget) Discard(id ConnID) {
+	c, ok := b.conns[id]
+	if !ok {
+		return
+	}
+	b.discard(c.held[ItemHead] + c.held[ItemField])
+	b.Release(id, ItemHead)
+	b.Release(id, ItemField)
+}
+
+func (b *Budget) discard(n ident.Bytes) {
+	b.garbage += n
+	b.fresh += n
+}
+
+// NextBatch returns how much garbage there is since the last batch.
+func (b *Budget) NextBatch() ident.Bytes {
+	n := b.fresh
+	b.fresh = 0
+	return n
+}
+
+// Collected notes that the garbage collector has freed a batch.
+func (b *Budget) Collected(n ident.Bytes) { b.garbage -= n }
+
+// Garbage returns the memory of discarded heads that is not freed.
+func (b *Budget) Garbage() ident.Bytes { return b.garbage }
+
+// CollectionDue reports whether the garbage collector should run although the heap has not grown to its goal.
+func (b *Budget) CollectionDue() bool { return b.garbage*100 >= b.limits.Memory*collectPercent }
+
 // Return gives back n units of an item, at most what the connection holds of it.
 func (b *Budget) Return(id ConnID, item Item, n int64) {
 	if c, ok := b.conns[id]; ok {
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -26,6 +26,33 @@
 // at returns the time some seconds after the start.
 func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 
+// Guards against heads that find room again and again while the garbage of earlier ones still takes the memory, and against calls
+// that are refused because of it.
+func TestHeadsFindNoRoomBesideGarbage(t *testing.T) {
+	for _, class := range []budget.Class{budget.ClassReadiness, budget.ClassLookups, budget.ClassMetrics} {
+		b := budget.New(testLimits())
+		kept := b.Open(start, class)
+		require.True(t, b.Take(kept, budget.ItemHead, 400<<10))
+		b.Discard(kept)
+		require.False(t, b.CollectionDue())
+		ended := b.Open(start, class)
+		require.True(t, b.Take(ended, budget.ItemField, 2000))
+		b.Close(ended)
+		require.Equal(t, ident.Bytes(400<<10+2000*200), b.Garbage())
+		require.True(t, b.CollectionDue())
+
+		require.False(t, b.Take(kept, budget.ItemHead, 300<<10))
+		require.True(t, b.Take(b.Open(start, budget.ClassCalls), budget.ItemHead, 300<<10))
+		n := b.NextBatch()
+		require.Equal(t, b.Garbage(), n)
+		require.Zero(t, b.NextBatch())
+		require.False(t, b.Take(kept, budget.ItemHead, 300<<10))
+		b.Collected(n)
+		require.Zero(t, b.Garbage())
+		require.True(t, b.Take(kept, budget.ItemHead, 300<<10))
+	}
+}
+
 // Guards against fields that count as their bytes only, and memory that is not given back.
 func TestFieldsCountMoreThanTheirBytes(t *testing.T) {
 	b := budget.New(testLimits())
--- a/core/budget/level.go
+++ b/core/budget/level.go
@@ -27,6 +27,10 @@
 	refusePercent = 90
 )
 
+// collectPercent is the part of the memory, in per cent, from which garbage is collected at once. Heads are refused when garbage and
+// what is held fill the memory.
+const collectPercent = 50
+
 // longBody is the size from which the bytes of a body do not keep the instance from accepting connections: a single legal
 // body may take most of the memory of a small machine, and nobody else could call meanwhile.
 const longBody ident.Bytes = 64 << 10
--- a/goldcreststand/internal/intake/gate.go
+++ b/goldcreststand/internal/intake/gate.go
@@ -42,12 +42,16 @@
 	log     Log
 	metrics *Metrics
 	done    chan struct{}
+	// collect asks for a run of the garbage collector.
+	collect chan struct{}
 
 	mu sync.Mutex
 	// now is the time of the last search, which is exact enough for progress, and cheaper than the clock with each read.
 	now    time.Time
 	budget *budget.Budget
 	conns  map[budget.ConnID]*Conn
+	// collecting is set while the garbage collector is asked to run.
+	collecting bool
 	// waiting is the number of listeners that wait for room; room is closed when there may be some.
 	waiting int
 	room    chan struct{}
@@ -58,7 +62,7 @@
 // New returns a gate. Run must run while listeners use it.
 func New(l budget.Limits, clock clockwork.Clock, log Log, m *Metrics) *Gate {
 	g := &Gate{
-		clock: clock, log: log, metrics: m, done: make(chan struct{}), now: clock.Now(), budget: budget.New(l),
+		clock: clock, log: log, metrics: m, done: make(chan struct{}), collect: make(chan struct{}, 1), now: clock.Now(), budget: budget.New(l),
 		conns: make(map[budget.ConnID]*Conn), room: make(chan struct{}), measures: make(map[measure]*tally),
 	}
 	m.read = g.usage
@@ -71,6 +75,9 @@
 // Run closes connections under pressure until the context ends.
 func (g *Gate) Run(ctx context.Context) {
 	defer close(g.done)
+	collector := make(chan struct{})
+	go g.runCollector(ctx, collector)
+	defer func() { <-collector }()
 	relief, report := g.clock.NewTicker(reliefInterval), g.clock.NewTicker(reportInterval)
 	defer relief.Stop()
 	defer report.Stop()
@@ -90,6 +97,7 @@
 // relieve closes the connections that the budget names.
 func (g *Gate) relieve() {
 	g.mu.Lock()
+	g.watchGarbage()
 	last := g.now
 	g.now = g.clock.Now()
 	if g.now.Sub(last) > maxLag {
--- a/goldcreststand/internal/intake/gate_test.go
+++ b/goldcreststand/internal/intake/gate_test.go
@@ -376,3 +376,22 @@
 		require.Equal(t, 1, f.gate.usage().Connections["lookups"])
 	}
 }
+
+// Guards against garbage that is counted for ever, which would end all requests for readiness, lookups and metrics, and against
+// garbage that waits for the heap to grow.
+func TestGarbageIsCountedUntilItIsCollected(t *testing.T) {
+	f := newFixture(t)
+	f.ln = f.gate.Listener(f.pipes, budget.ClassLookups)
+	c, from := f.accept()
+	require.NoError(t, f.receive(c, from, strings.Repeat("a:1\r\n", 3000)))
+	require.NoError(t, c.Close())
+	const size = 3000 * (5 + 200)
+	require.Equal(t, ident.Bytes(size), f.gate.usage().Garbage)
+	f.gate.relieve()
+	require.Equal(t, ident.Bytes(size), f.gate.usage().Garbage)
+	ctx, cancel := context.WithCancel(t.Context())
+	go f.gate.Run(ctx)
+	require.Eventually(t, func() bool { return f.gate.usage().Garbage == 0 }, 10*time.Second, time.Millisecond)
+	cancel()
+	<-f.gate.Done()
+}
--- a/goldcreststand/internal/intake/metrics.go
+++ b/goldcreststand/internal/intake/metrics.go
@@ -79,6 +79,7 @@
 	Level       string         `json:"level"`
 	Callers     ident.Bytes    `json:"callers"`
 	Peers       ident.Bytes    `json:"peers"`
+	Garbage     ident.Bytes    `json:"garbage"`
 	Connections map[string]int `json:"connections"`
 	// Pressing are the addresses with the most memory, the largest first.
 	Pressing []pressing `json:"pressing"`
@@ -95,7 +96,7 @@
 func (g *Gate) usage() usage {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := usage{Level: g.budget.Level().String(), Connections: make(map[string]int)}
+	out := usage{Level: g.budget.Level().String(), Garbage: g.budget.Garbage(), Connections: make(map[string]int)}
 	out.Callers, out.Peers = g.budget.Held()
 	for _, class := range budget.ClassValues() {
 		out.Connections[class.String()] = g.budget.Conns(class)
--- a/goldcreststand/internal/intake/track.go
+++ b/goldcreststand/internal/intake/track.go
@@ -96,8 +96,7 @@
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	c.metering = true
-	c.gate.budget.Release(c.id, budget.ItemHead)
-	c.gate.budget.Release(c.id, budget.ItemField)
+	c.gate.budget.Discard(c.id)
 	c.gate.signalRoom()
 }
 
