http1, edge, cmd: a stop answers the calls that are left before its time ends

Callers saw: connections that ended at the end of a planned stop with requests that were read and never answered, nor refused. On pipelined connections these were all requests behind one at which a server was still at work: safe ones that a server had answered, and unsafe ones that were never sent. In a process that is short of processor time they were also calls whose server had answered up to 100 ms before.

Cause: at 0.9 of the grace time, Shutdown returned with the error of its context and the process ended. Nothing was done with the calls that were left, although a tenth of the grace time was.

Why it works: at 0.85 of the grace time, which lies in the last sixth, the contexts of all calls that were read are canceled, in each search until no connection is left. Handlers then answer by themselves, in the order of the requests: the response of the server if there is one, 503 if the call was not sent, and 502 if it may have been executed. They have until 0.9 of the grace time, as the whole stop had before, and calls late in the stop are accepted only if their deadlines pass before 0.85.

The tally of crowd also requires that no refused unsafe request reaches a backend server.

--- a/goldcreststand/internal/cmd/instance.go
+++ b/goldcreststand/internal/cmd/instance.go
@@ -32,9 +32,11 @@
 
 const (
 	// drainFraction is the fraction of the time between SIGTERM and SIGKILL for which a leaving instance
-	// still accepts calls of callers that keep its address; shutdownFraction is the fraction at which its
-	// shutdown ends at the latest.
+	// still accepts calls of callers that keep its address. cancelFraction is the fraction at which the calls that are left are
+	// canceled. It lies in the last sixth, in which operators count no call as lost at which a server is still at work.
+	// shutdownFraction is the fraction at which the responses to these must be written.
 	drainFraction    = 0.5
+	cancelFraction   = 0.85
 	shutdownFraction = 0.9
 	// maxListeners is the largest number of addresses that an instance listens on.
 	maxListeners = 5
@@ -236,15 +238,20 @@
 	grace := site.Seconds(inst.settings.Bounds.Grace)
 	inst.log.StateChange("node: leaving", logrus.Fields{"grace": grace.Milliseconds()})
 	start := inst.clock.Now()
-	timeout := time.Duration(shutdownFraction * float64(grace))
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	timeout := time.Duration(cancelFraction * float64(grace))
+	end, cancelEnd := context.WithTimeout(context.Background(), time.Duration(shutdownFraction*float64(grace)))
+	defer cancelEnd()
+	ctx, cancel := context.WithTimeout(end, timeout)
 	defer cancel()
 	if err := inst.loop.Post(ctx, hub.Shutdown{Until: start.Add(timeout)}); err != nil {
 		return err
 	}
 	inst.clock.Sleep(time.Duration(drainFraction*float64(grace)) - inst.clock.Since(start))
 	if err := inst.server.Shutdown(ctx); err != nil {
-		inst.log.StateChange("node: shutdown ended with calls in flight", logrus.Fields{"error": err.Error()})
+		inst.log.StateChange("node: canceling the calls in flight", logrus.Fields{"error": err.Error()})
+		if err := inst.server.CancelCalls(end); err != nil {
+			inst.log.StateChange("node: shutdown ended with calls in flight", logrus.Fields{"error": err.Error()})
+		}
 	}
 	inst.flushUsage()
 	return nil
--- a/goldcreststand/internal/crowd/fakebackend_test.go
+++ b/goldcreststand/internal/crowd/fakebackend_test.go
@@ -23,6 +23,8 @@
 type fakeBackend struct {
 	srv  *httptest.Server
 	seen sync.Map
+	// answered holds the times at which the calls were answered.
+	answered sync.Map
 }
 
 func newFakeBackend(t *testing.T, id string, slots int) *fakeBackend {
@@ -41,6 +43,7 @@
 		if ms, _ := strconv.Atoi(r.Header.Get(workField)); ms > 0 {
 			time.Sleep(time.Duration(ms) * time.Millisecond)
 		}
+		b.answered.Store(request, time.Now())
 		h.Set("X-Goldcreststand-Request-Id", request)
 		h.Set("X-Goldcreststand-Response-Signature", "sig")
 		_, _ = io.WriteString(w, body)
@@ -58,3 +61,10 @@
 	_, ok := b.seen.Load(id)
 	return ok
 }
+
+// answeredAt returns the time at which the server answered the call, or zero.
+func (b *fakeBackend) answeredAt(id string) time.Time {
+	at, _ := b.answered.Load(id)
+	out, _ := at.(time.Time)
+	return out
+}
--- a/goldcreststand/internal/crowd/link_test.go
+++ b/goldcreststand/internal/crowd/link_test.go
@@ -58,6 +58,10 @@
 // request is a request on a link.
 type request struct {
 	id, text string
+	// unsafe reports that the request may be executed once at most.
+	unsafe bool
+	// deadline is the time for which the caller waits for the response.
+	deadline time.Duration
 	sent     time.Time
 	// end is the number of bytes that the link has sent up to the end of the request.
 	end uint64
@@ -65,9 +69,14 @@
 
 // newRequest returns a request on which the backend server works for the time.
 func newRequest(id, method, path string, work time.Duration, body int) *request {
-	r := &request{id: id}
+	return newRequestUntil(id, method, path, work, body, crossingDeadline)
+}
+
+// newRequestUntil returns a request with a deadline of its own.
+func newRequestUntil(id, method, path string, work time.Duration, body int, deadline time.Duration) *request {
+	r := &request{id: id, unsafe: path == unsafePath, deadline: deadline}
 	r.text = fmt.Sprintf("%s %s%s HTTP/1.1\r\nHost: %s\r\nX-Goldcreststand-Request-Id: %s\r\nX-Goldcreststand-Deadline-Ms: %d\r\n%s: %d\r\n",
-		method, path, id, callHost, id, crossingDeadline.Milliseconds(), workField, work.Milliseconds())
+		method, path, id, callHost, id, deadline.Milliseconds(), workField, work.Milliseconds())
 	if method == http.MethodPost {
 		r.text += fmt.Sprintf("Content-Length: %d\r\n", body)
 	}
@@ -223,6 +232,9 @@
 	}
 	l.tally.count(outcomeAnswered)
 	l.tally.status(resp.StatusCode)
+	if l.refused && r.unsafe {
+		l.tally.refuse(r)
+	}
 	return nil
 }
 
--- a/goldcreststand/internal/crowd/process_test.go
+++ b/goldcreststand/internal/crowd/process_test.go
@@ -70,6 +70,16 @@
 	return slices.ContainsFunc(d.backends, func(b *fakeBackend) bool { return b.hasSeen(id) })
 }
 
+// answeredAt returns the time at which a backend server answered a call, or zero.
+func (d *deployment) answeredAt(id string) (at time.Time) {
+	for _, b := range d.backends {
+		if t := b.answeredAt(id); t.After(at) {
+			at = t
+		}
+	}
+	return at
+}
+
 // process is a running instance.
 type process struct {
 	t      *testing.T
--- a/goldcreststand/internal/crowd/stops_test.go
+++ b/goldcreststand/internal/crowd/stops_test.go
@@ -21,6 +21,9 @@
 	crossingEnv   = flag.String("crossing.env", "", "variable of the environment of the instances in these tests")
 )
 
+// crossingGrace is the time in seconds between SIGTERM and SIGKILL in most of these tests.
+const crossingGrace = 1.2
+
 // maxCrossingDelay is the largest time between the first close and a request that is to cross another one.
 const maxCrossingDelay = 2 * time.Millisecond
 
@@ -126,9 +129,9 @@
 }
 
 // newCrossing prepares instances with room for all callers of a test.
-func newCrossing(t *testing.T, idleTimeout time.Duration, instances int) (deployment, []*process) {
+func newCrossing(t *testing.T, idleTimeout time.Duration, instances int, grace float64) (deployment, []*process) {
 	d := newDeployment(t, crossingConfiguration(idleTimeout), 400)
-	d.grace = 1.2
+	d.grace = grace
 	out := make([]*process, instances)
 	for n := range out {
 		out[n] = prepare(t, limits{memoryMB: 512, maxFiles: 4100, maxBody: maxBody}, d)
@@ -142,7 +145,7 @@
 // Guards against requests that are read when the idle timeout of their connection has passed, and get no response because it
 // closes at this moment.
 func TestRequestsCrossingIdleTimeout(t *testing.T) {
-	d, ps := newCrossing(t, 300*time.Millisecond, 1)
+	d, ps := newCrossing(t, 300*time.Millisecond, 1, crossingGrace)
 	ps[0].serve()
 	rng, tl := rand.New(rand.NewPCG(*crossingSeed, 0)), newTally(t, d)
 	for n := range *crossingCount {
@@ -156,7 +159,7 @@
 // together with the check for idle connections.
 func TestRequestsCrossingIdleTimeoutOfLateProcess(t *testing.T) {
 	const late = 450 * time.Millisecond
-	d, ps := newCrossing(t, 300*time.Millisecond, 1)
+	d, ps := newCrossing(t, 300*time.Millisecond, 1, crossingGrace)
 	p := ps[0]
 	p.serve()
 	rng, tl := rand.New(rand.NewPCG(*crossingSeed, 0)), newTally(t, d)
@@ -195,7 +198,7 @@
 // begins before each stop, and the function that it returns ends it.
 func crossStops(t *testing.T, disturb func(p *process) (end func())) {
 	t.Helper()
-	d, ps := newCrossing(t, 15*time.Second, 1)
+	d, ps := newCrossing(t, 15*time.Second, 1, crossingGrace)
 	p := ps[0]
 	rng, tl := rand.New(rand.NewPCG(*crossingSeed, 0)), newTally(t, d)
 	for n := range *crossingCount {
--- a/goldcreststand/internal/crowd/tally_test.go
+++ b/goldcreststand/internal/crowd/tally_test.go
@@ -18,7 +18,9 @@
 	// late counts those whose connection ended later than lossSlack.
 	outcomes, late [numOutcomes]int
 	statuses       map[int]int
-	failures       []string
+	// refusals holds the requests that must not have been executed.
+	refusals []*request
+	failures []string
 }
 
 func newTally(t *testing.T, d deployment) *tally {
@@ -37,6 +39,13 @@
 	t.statuses[code]++
 }
 
+// refuse records a refusal, which says that the request was not executed and never will be.
+func (t *tally) refuse(r *request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refusals = append(t.refusals, r)
+}
+
 func (t *tally) fail(format string, args ...any) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -51,7 +60,11 @@
 		sinceAnswer = r.sent.Sub(l.lastAnswer)
 	}
 	if f == outcomeReadAndCut || f == outcomePassedOnAndCut {
-		t.fail("%v: request %q, connection ended %v after it, %v after the last response: %v", f, r.id, after, sinceAnswer, l.cause)
+		work := "not answered by a backend server"
+		if at := t.deployment.answeredAt(r.id); !at.IsZero() {
+			work = fmt.Sprintf("answered by a backend server %v before", time.Since(at))
+		}
+		t.fail("%v: request %q, connection ended %v after it, %v after the last response, %s: %v", f, r.id, after, sinceAnswer, work, l.cause)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -66,6 +79,11 @@
 	t.t.Helper()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, r := range t.refusals {
+		if t.deployment.hasSeen(r.id) {
+			t.failures = append(t.failures, fmt.Sprintf("request %q was refused and has reached a backend server", r.id))
+		}
+	}
 	for f := range numOutcomes {
 		if t.outcomes[f] > 0 {
 			t.t.Logf("%v: %d, later than %v: %d", f, t.outcomes[f], lossSlack, t.late[f])
--- a/goldcreststand/internal/crowd/work_test.go
+++ b/goldcreststand/internal/crowd/work_test.go
@@ -138,7 +138,7 @@
 // Guards against requests that are read and get no response around planned work: stops and starts of instances, signals,
 // settings and configurations that change, in series and overlapping.
 func TestRequestsCrossingPlannedWork(t *testing.T) {
-	d, ps := newCrossing(t, 15*time.Second, 2)
+	d, ps := newCrossing(t, 15*time.Second, 2, crossingGrace)
 	for _, p := range ps {
 		p.serve()
 	}
--- a/goldcreststand/internal/edge/call.go
+++ b/goldcreststand/internal/edge/call.go
@@ -12,6 +12,7 @@
 	"goldcreststand.example/core/route"
 	"goldcreststand.example/core/rules"
 	"goldcreststand.example/core/spread"
+	"goldcreststand.example/goldcreststand/internal/http1"
 )
 
 // call executes the actions of a retry.Call, in the goroutine of the caller's request.
@@ -157,12 +158,12 @@
 	return out
 }
 
-// endEvent returns the event of a disconnected caller or a passed deadline, or nil.
+// endEvent returns the event of a disconnected caller or a passed deadline, or nil. The end of a stop is the deadline of all calls.
 func (c *call) endEvent(now time.Time) retry.Event {
 	switch {
-	case c.ctx.Err() != nil:
+	case c.callerDisconnected():
 		return retry.CallerDisconnected{At: now}
-	case !now.Before(c.deadline):
+	case c.isStopped(), !now.Before(c.deadline):
 		return retry.DeadlinePassed{At: now}
 	default:
 		return nil
@@ -276,6 +277,9 @@
 		return []retry.Event{end, broken}
 	default:
 		t.result = route.ResultTimeout
+		if c.isStopped() {
+			t.result = route.ResultCanceled
+		}
 		return []retry.Event{end, broken}
 	}
 }
@@ -315,4 +319,9 @@
 }
 
 // callerDisconnected reports whether the call ended because the caller closed its connection.
-func (c *call) callerDisconnected() bool { return errors.Is(c.ctx.Err(), context.Canceled) }
+func (c *call) callerDisconnected() bool {
+	return errors.Is(c.ctx.Err(), context.Canceled) && !c.isStopped()
+}
+
+// isStopped reports whether the call ended because the time for the stop of this instance has passed.
+func (c *call) isStopped() bool { return errors.Is(context.Cause(c.ctx), http1.ErrStopping) }
--- a/goldcreststand/internal/edge/callerserver_test.go
+++ b/goldcreststand/internal/edge/callerserver_test.go
@@ -23,7 +23,9 @@
 type callerServer struct {
 	URL      string
 	Listener net.Listener
-	handler  atomic.Pointer[edge.Handler]
+	// srv is nil with net/http.
+	srv     *http1.Server
+	handler atomic.Pointer[edge.Handler]
 	// kind replaces the kinds that the handler tells, if it is set.
 	kind atomic.Value
 }
@@ -59,6 +61,7 @@
 		return s
 	}
 	srv := http1.New(s, clockwork.NewRealClock())
+	s.srv = srv
 	ctx, cancel := context.WithCancel(context.Background())
 	go srv.Run(ctx)
 	go func() { _ = srv.Serve(ln) }()
--- a/goldcreststand/internal/edge/handler.go
+++ b/goldcreststand/internal/edge/handler.go
@@ -175,7 +175,7 @@
 		return rej
 	}
 	if !snap.Stop.Accepts(c.arrived, c.deadline) {
-		return &rejection{status: http.StatusServiceUnavailable, cause: causeStopping, retryAfter: retryAfter}
+		return stoppingRejection()
 	}
 	if limit := int64(snap.Config.Limits.MaxHeader); limit > 0 && headerSize(c.r) > limit {
 		return &rejection{status: http.StatusRequestHeaderFieldsTooLarge, cause: causeTooLarge}
@@ -357,6 +357,10 @@
 	switch {
 	case c.cause == retry.CauseGone || c.callerDisconnected():
 		return &rejection{cause: causeCallerDisconnected, err: context.Cause(c.ctx)}
+	case c.maybeExecuted && c.isStopped():
+		return &rejection{status: http.StatusBadGateway, cause: causeStopping}
+	case c.isStopped():
+		return stoppingRejection()
 	case c.maybeExecuted && c.cause == retry.CauseDeadline:
 		return &rejection{status: http.StatusGatewayTimeout, cause: causeTimeout}
 	case c.maybeExecuted:
--- a/goldcreststand/internal/edge/rejection.go
+++ b/goldcreststand/internal/edge/rejection.go
@@ -16,7 +16,7 @@
 	causeInvalidRequest // invalid
 	// causeNotReady means that this instance has no configuration yet.
 	causeNotReady // starting
-	// causeStopping means that this instance may stop before the call's deadline.
+	// causeStopping means that this instance stops, or may stop, before the call's deadline.
 	causeStopping
 	// causeQueued means that the deadline passed while earlier calls of the connection were answered.
 	causeQueued
@@ -61,6 +61,11 @@
 	err        error
 }
 
+// stoppingRejection returns the rejection of a call that was not executed and need not end before this instance stops.
+func stoppingRejection() *rejection {
+	return &rejection{status: http.StatusServiceUnavailable, cause: causeStopping, retryAfter: retryAfter}
+}
+
 // write sends the rejection to the caller, or closes its connection.
 func (r *rejection) write(w http.ResponseWriter) {
 	if r.status == 0 {
--- a/goldcreststand/internal/edge/server.go
+++ b/goldcreststand/internal/edge/server.go
@@ -46,6 +46,10 @@
 	return s.srv.Shutdown(ctx)
 }
 
+// CancelCalls ends the calls that are left after a Shutdown whose context has ended. Each gets a response that says whether it may have
+// been executed. CancelCalls waits until these are written or the context ends.
+func (s *Server) CancelCalls(ctx context.Context) error { return s.srv.CancelCalls(ctx) }
+
 // maxHeader returns the largest size of a request's head.
 func (s *Server) maxHeader() ident.Bytes {
 	if cfg := s.snapshots.Load().Config; cfg != nil {
--- a/goldcreststand/internal/edge/turn.go
+++ b/goldcreststand/internal/edge/turn.go
@@ -64,6 +64,8 @@
 		err = c.awaitTurn(w)
 	}
 	switch {
+	case c.isStopped():
+		return stoppingRejection()
 	case c.ctx.Err() != nil:
 		return &rejection{cause: causeCallerDisconnected, err: context.Cause(c.ctx)}
 	case err != nil, !c.h.clock.Now().Before(c.deadline):
--- a/goldcreststand/internal/edge/where.go
+++ b/goldcreststand/internal/edge/where.go
@@ -75,7 +75,7 @@
 		out.Tenant = &organisation
 	}
 	if !snap.Stop.Accepts(p.arrived, p.deadline) {
-		return &rejection{cause: causeStopping, retryAfter: retryAfter}
+		return stoppingRejection()
 	}
 	return nil
 }
--- a/goldcreststand/internal/http1/call.go
+++ b/goldcreststand/internal/http1/call.go
@@ -17,7 +17,7 @@
 type call struct {
 	c      *conn
 	req    *http.Request
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	w      response
 	// body is the body that is read from the connection, or nil.
 	body    *body
@@ -51,7 +51,7 @@
 	if c.closing || c.sealed {
 		c.srv.metrics.Dropped.Add(1)
 		c.unanswered++
-		x.cancel()
+		x.cancel(nil)
 		return false
 	}
 	if !c.reserve(x) {
@@ -94,7 +94,7 @@
 		if x.awaitTurn(time.Time{}) == nil {
 			_ = x.c.write([]byte(x.fixed))
 		}
-		x.cancel()
+		x.cancel(nil)
 		cause := endResponse
 		if x.fixed == "" {
 			cause = endTimeout
@@ -103,7 +103,7 @@
 		return
 	}
 	aborted := x.serve()
-	x.cancel()
+	x.cancel(nil)
 	if x.body != nil && !x.w.encoded {
 		x.body.skipArrived()
 	}
--- a/goldcreststand/internal/http1/conn.go
+++ b/goldcreststand/internal/http1/conn.go
@@ -394,6 +394,16 @@
 	c.ending = true
 }
 
+// cancelCalls ends the connection after the calls that were read, and cancels these.
+func (c *conn) cancelCalls() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	for _, x := range c.calls {
+		x.cancel(ErrStopping)
+	}
+}
+
 // endIfIdle ends the connection if it has been idle for longer than the limit.
 func (c *conn) endIfIdle(now time.Time, limit time.Duration) {
 	c.mu.Lock()
--- a/goldcreststand/internal/http1/lostrequest_test.go
+++ b/goldcreststand/internal/http1/lostrequest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -431,3 +432,34 @@
 	require.Equal(t, []string{"/safe/1"}, c.bodies(1))
 	c.requireLast("/safe/2")
 }
+
+// Guards against calls in flight that get no response because the process ends when the time for a planned stop has passed, and against
+// one that is not canceled because it was read or started afterwards.
+func TestCancelCallsAnswersAllThatWereRead(t *testing.T) {
+	s, address := newServer(t, handler(func(w http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		if errors.Is(context.Cause(r.Context()), http1.ErrStopping) {
+			_, _ = io.WriteString(w, r.URL.Path)
+		}
+	}))
+	c := dial(t, address)
+	c.get("/safe/1", "/safe/2", "/unsafe/3", "/unsafe/4")
+	rest := dial(t, address)
+	rest.send("POST /unsafe/5 HTTP/1.1\nHost: a\nContent-Length: 4\n\nhalf")
+	rest.get("/unsafe/6")
+	time.Sleep(50 * time.Millisecond)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.ErrorIs(t, s.Shutdown(ended), context.Canceled)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- s.CancelCalls(ctx) }()
+	require.Equal(t, []string{"/safe/1", "/safe/2", "/unsafe/3"}, c.bodies(3))
+	c.requireLast("/unsafe/4")
+	require.Equal(t, []string{"/unsafe/5"}, rest.bodies(1))
+	rest.requireLast("/unsafe/6")
+	require.NoError(t, c.Close())
+	require.NoError(t, rest.Close())
+	require.NoError(t, receive(t, done))
+}
--- a/goldcreststand/internal/http1/request.go
+++ b/goldcreststand/internal/http1/request.go
@@ -136,7 +136,7 @@
 // connection, and the handler reads it.
 func (c *conn) newCall(req *http.Request, size ident.Bytes, lines int) *call {
 	x := &call{c: c, readAt: c.srv.clock.Now(), headSize: int64(size), fields: int64(lines)}
-	ctx, cancel := context.WithCancel(c.ctx)
+	ctx, cancel := context.WithCancelCause(c.ctx)
 	x.req, x.cancel = req.WithContext(ctx), cancel
 	x.w.init(x)
 	expect := req.Header.Get("Expect")
@@ -184,7 +184,7 @@
 
 // fixedCall returns a call with a fixed response, behind which nothing is read. An empty response closes the connection.
 func (c *conn) fixedCall(response string) *call {
-	x := &call{c: c, fixed: response, isFixed: true, last: true, cancel: func() {}}
+	x := &call{c: c, fixed: response, isFixed: true, last: true, cancel: func(error) {}}
 	x.request = pipe.Request{Kind: rules.KindUnsafe, Last: true}
 	return x
 }
--- a/goldcreststand/internal/http1/server.go
+++ b/goldcreststand/internal/http1/server.go
@@ -43,6 +43,9 @@
 	Kind(r *http.Request) rules.Kind
 }
 
+// ErrStopping is the cause with which CancelCalls ends the contexts of calls.
+var ErrStopping = Error.New("server is stopping")
+
 // Log logs what happens to connections. It must not block.
 type Log interface {
 	Failure(msg string, fields logrus.Fields)
@@ -240,13 +243,7 @@
 	if end, ok := ctx.Deadline(); ok {
 		settle = min(settle, time.Duration(settleFraction*float64(time.Until(end))))
 	}
-	ticker := time.NewTicker(shutdownInterval)
-	defer ticker.Stop()
-	for {
-		conns := s.snapshot()
-		if len(conns) == 0 {
-			return nil
-		}
+	return s.awaitConns(ctx, func(conns []*conn) {
 		// All connections end after their calls before the first idle one closes: any response after that close says so.
 		for _, c := range conns {
 			c.endAfterRead()
@@ -254,6 +251,31 @@
 		for _, c := range conns {
 			c.endIfSettled(s.clock.Now(), settle)
 		}
+	})
+}
+
+// CancelCalls follows a Shutdown whose context has ended. It cancels the contexts of the calls that were read, with the cause
+// ErrStopping, and waits until all are answered or the context ends. Without it the process would end with those calls and with all
+// that wait behind them, whose callers could not know whether they were executed.
+func (s *Server) CancelCalls(ctx context.Context) error {
+	s.stop()
+	return s.awaitConns(ctx, func(conns []*conn) {
+		for _, c := range conns {
+			c.cancelCalls()
+		}
+	})
+}
+
+// awaitConns calls step with the connections from time to time until there are none or the context ends.
+func (s *Server) awaitConns(ctx context.Context, step func([]*conn)) error {
+	ticker := time.NewTicker(shutdownInterval)
+	defer ticker.Stop()
+	for {
+		conns := s.snapshot()
+		if len(conns) == 0 {
+			return nil
+		}
+		step(conns)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
