edge: a call that had to wait is judged again by the time of a planned stop

Callers saw: an unsafe request that was read early in a planned stop, and whose turn on its connection or whose body came late in it, was sent to a server although its deadline lies behind the end of the stop, where other requests of that moment are refused. If the server was not done in time, the request was cut off and nobody knew whether it was executed.

Cause: prepare asks spread.Stop.Accepts with the arrival, before the call waits for its turn and its body.

Evidence: edge.TestCallThatWasReadEarlyInStopIsRejectedLate failed before, 200 for 503 in both cases ("turn", "body").

Why it works: nothing is sent before both waits have ended, so the call that is refused then has not been executed, and another instance can take it.

--- a/goldcreststand/internal/edge/cancel_test.go
+++ b/goldcreststand/internal/edge/cancel_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"goldcreststand.example/core/spread"
 )
 
 // cancelCalls ends the server of callers as a stop does whose time has passed.
@@ -76,3 +78,54 @@
 		})
 	}
 }
+
+// Guards against a call that is sent to a server late in a planned stop, although its deadline lies behind the end, because it was read
+// before: it waited for its turn, or for its body. It would be canceled, and nobody would know whether it was executed.
+func TestCallThatWasReadEarlyInStopIsRejectedLate(t *testing.T) {
+	const open = 200 * time.Millisecond
+	tests := []struct {
+		name string
+		// begin sends the part of the request that is read early, and end lets the call go on.
+		begin, end func(p *pipeline, release chan struct{})
+		want       []int
+		calls      int
+	}{
+		{
+			name:  "turn",
+			begin: func(p *pipeline, _ chan struct{}) { p.get("/unsafe/first", "/unsafe/1") },
+			end:   func(_ *pipeline, release chan struct{}) { close(release) },
+			want:  []int{http.StatusOK, http.StatusServiceUnavailable}, calls: 1,
+		},
+		{
+			name: "body",
+			begin: func(p *pipeline, _ chan struct{}) {
+				p.send("POST /unsafe/ HTTP/1.1\r\nHost: host.example\r\n" + fieldRequest + ": p\r\n" + fieldTimeout + ": 20000\r\nContent-Length: 4\r\n\r\nha")
+			},
+			end:  func(p *pipeline, _ chan struct{}) { p.send("lf") },
+			want: []int{http.StatusServiceUnavailable},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			release := make(chan struct{})
+			b := newBackend(t, "s1", holdFirst(release))
+			f := newHarness(t, b)
+			f.setTimeout(20 * time.Second)
+			now := time.Now()
+			f.snap.ShuttingDown, f.snap.Stop = true, spread.Stop{Since: now, Until: now.Add(3 * open)}
+			p := newPipeline(f)
+			tt.begin(p, release)
+			time.Sleep(time.Until(now.Add(open * 5 / 4)))
+			tt.end(p, release)
+			p.requireStatuses(tt.want...)
+			require.Equal(t, tt.calls, b.count())
+			require.Equal(t, "stopping", f.cause())
+		})
+	}
+}
+
+// send sends a text.
+func (p *pipeline) send(text string) {
+	_, err := io.WriteString(p, text)
+	require.NoError(p.f.t, err)
+}
--- a/goldcreststand/internal/edge/handler.go
+++ b/goldcreststand/internal/edge/handler.go
@@ -186,6 +186,10 @@
 	if rej := c.readBody(snap, w); rej != nil {
 		return rej
 	}
+	// The call may have been read early in a stop, and have waited for its turn or its body since.
+	if !c.h.snapshots.Load().Stop.Accepts(c.h.clock.Now(), c.deadline) {
+		return stoppingRejection()
+	}
 	c.holder.BodyRead()
 	return c.selectService(snap)
 }
