cmd: the time for the responses of a stop counts from the cancel of its calls

Callers saw: requests that were read and cut off at the end of a planned stop of an instance that stood still shortly before.

Cause: both ends of the stop were times since its begin. A process that was late by 0.05 of the grace time, 60 ms of 1.2 s, canceled the calls that were left and ended at once.

Why it works: the time for the responses begins when the calls are canceled, however late that is.

TestRequestsCrossingPlannedWorkOfLateProcesses is the mixed test with processes that are throttled or stand still around the signal or the end of the grace time.

--- a/goldcreststand/internal/cmd/instance.go
+++ b/goldcreststand/internal/cmd/instance.go
@@ -34,10 +34,10 @@
 	// drainFraction is the fraction of the time between SIGTERM and SIGKILL for which a leaving instance
 	// still accepts calls of callers that keep its address. cancelFraction is the fraction at which the calls that are left are
 	// canceled. It lies in the last sixth, in which operators count no call as lost at which a server is still at work.
-	// shutdownFraction is the fraction at which the responses to these must be written.
-	drainFraction    = 0.5
-	cancelFraction   = 0.85
-	shutdownFraction = 0.9
+	// answerFraction is the fraction in which the responses to these must be written.
+	drainFraction  = 0.5
+	cancelFraction = 0.85
+	answerFraction = 0.05
 	// maxListeners is the largest number of addresses that an instance listens on.
 	maxListeners = 5
 	// defaultOpenFiles is the number of descriptors of a process whose limit is not known; maxOpenFiles is one beyond which a
@@ -239,9 +239,7 @@
 	inst.log.StateChange("node: leaving", logrus.Fields{"grace": grace.Milliseconds()})
 	start := inst.clock.Now()
 	timeout := time.Duration(cancelFraction * float64(grace))
-	end, cancelEnd := context.WithTimeout(context.Background(), time.Duration(shutdownFraction*float64(grace)))
-	defer cancelEnd()
-	ctx, cancel := context.WithTimeout(end, timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err := inst.loop.Post(ctx, hub.Shutdown{Until: start.Add(timeout)}); err != nil {
 		return err
@@ -249,7 +247,10 @@
 	inst.clock.Sleep(time.Duration(drainFraction*float64(grace)) - inst.clock.Since(start))
 	if err := inst.server.Shutdown(ctx); err != nil {
 		inst.log.StateChange("node: canceling the calls in flight", logrus.Fields{"error": err.Error()})
-		if err := inst.server.CancelCalls(end); err != nil {
+		// The time counts from now: a process that is late needs it even more.
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(answerFraction*float64(grace)))
+		defer cancel()
+		if err := inst.server.CancelCalls(ctx); err != nil {
 			inst.log.StateChange("node: shutdown ended with calls in flight", logrus.Fields{"error": err.Error()})
 		}
 	}
--- a/goldcreststand/internal/crowd/grace_test.go
+++ b/goldcreststand/internal/crowd/grace_test.go
@@ -26,16 +26,26 @@
 	requestsBehindSlowOne(t, func(p *process) func() { return p.throttle(30*time.Millisecond, 70*time.Millisecond) })
 }
 
+// Guards against the same in a process that stands still while the time passes in which it was to answer them.
+func TestRequestsBehindSlowOneAtEndOfStopOfStandingProcess(t *testing.T) {
+	requestsBehindSlowOne(t, func(p *process) func() {
+		timer := time.AfterFunc(1600*time.Millisecond, func() { time.AfterFunc(250*time.Millisecond, p.suspend()) })
+		return func() { timer.Stop() }
+	})
+}
+
+// requestsBehindSlowOne tests a stop whose grace time is 2 s. The disturbance begins with the signal, and the function that it returns is
+// called when the process has ended.
 func requestsBehindSlowOne(t *testing.T, disturb func(p *process) (end func())) {
+	t.Helper()
 	d, ps := newCrossing(t, 15*time.Second, 1, 2)
 	p, tl := ps[0], newTally(t, d)
 	p.serve()
-	end := disturb(p)
-	var links []*link
-	for n := range 50 {
+	links := make([]*link, 50)
+	for n := range links {
 		l, err := connect(p.calls, tl)
 		require.NoError(t, err)
-		links = append(links, l)
+		links[n] = l
 		id := fmt.Sprintf("behind-%d", n)
 		require.True(t, l.send(
 			newRequestUntil(id+"-slow", http.MethodGet, safePath, beyondGrace, 0, beyondGrace),
@@ -45,6 +55,7 @@
 		))
 	}
 	time.Sleep(300 * time.Millisecond)
+	end := disturb(p)
 	start := time.Now()
 	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
 	p.requireEnded()
--- a/goldcreststand/internal/crowd/work_test.go
+++ b/goldcreststand/internal/crowd/work_test.go
@@ -138,6 +138,31 @@
 // Guards against requests that are read and get no response around planned work: stops and starts of instances, signals,
 // settings and configurations that change, in series and overlapping.
 func TestRequestsCrossingPlannedWork(t *testing.T) {
+	crossPlannedWork(t, func(*process, *rand.Rand) func() { return func() {} })
+}
+
+// Guards against the same in processes that are short of processor time, or that stand still around the signal or around the end of
+// their grace time.
+func TestRequestsCrossingPlannedWorkOfLateProcesses(t *testing.T) {
+	crossPlannedWork(t, func(p *process, rng *rand.Rand) func() {
+		release := p.throttle(time.Duration(10+rng.IntN(30))*time.Millisecond, time.Duration(20+rng.IntN(80))*time.Millisecond)
+		if rng.IntN(2) == 0 {
+			at := time.Duration(rng.IntN(2))*time.Duration(crossingGrace*800)*time.Millisecond + time.Duration(rng.IntN(100))*time.Millisecond
+			length := time.Duration(50+rng.IntN(200)) * time.Millisecond
+			timer := time.AfterFunc(at, func() { time.AfterFunc(length, p.suspend()) })
+			return func() {
+				timer.Stop()
+				release()
+			}
+		}
+		return release
+	})
+}
+
+// crossPlannedWork stops and starts instances, and changes their configuration and settings, beside callers. The disturbance of a process
+// begins before its stop, and the function that it returns is called when it has ended.
+func crossPlannedWork(t *testing.T, disturb func(p *process, rng *rand.Rand) (end func())) {
+	t.Helper()
 	d, ps := newCrossing(t, 15*time.Second, 2, crossingGrace)
 	for _, p := range ps {
 		p.serve()
@@ -152,7 +177,9 @@
 	o := &operator{d: d, ps: ps, rng: rng, version: 1}
 	for range *crossingCount {
 		stopped := ps[:1+rng.IntN(len(ps))]
+		var ends []func()
 		for _, p := range stopped {
+			ends = append(ends, disturb(p, rng))
 			require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
 			time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
 		}
@@ -160,8 +187,9 @@
 			o.change(t)
 			time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
 		}
-		for _, p := range stopped {
+		for n, p := range stopped {
 			p.requireEnded()
+			ends[n]()
 			p.serve()
 		}
 		ps[0], ps[1] = ps[1], ps[0]
