cmd, hub: a stop that is noticed late ends within the grace time

Callers saw: requests cut off by the end of the grace time, in an instance that stood still when SIGTERM came.

Cause: the grace time counts from the signal, and the stop counted from when the process noticed it.

Why it works: control notes the time of its last late tick. The stop is shortened by the time for which the process may have stood still, so far as that exceeds what is spare at the end. It is not shortened more: the signal may have come at the end of the standstill, and calls that are canceled before the last sixth of the grace time count as lost. A standstill of 0.05 to 0.067 of the grace time keeps both bounds; in a longer one calls may be canceled up to that much before the last sixth.

--- a/goldcreststand/internal/cmd/instance.go
+++ b/goldcreststand/internal/cmd/instance.go
@@ -34,10 +34,14 @@
 	// drainFraction is the fraction of the time between SIGTERM and SIGKILL for which a leaving instance
 	// still accepts calls of callers that keep its address. cancelFraction is the fraction at which the calls that are left are
 	// canceled. It lies in the last sixth, in which operators count no call as lost at which a server is still at work.
-	// answerFraction is the fraction in which the responses to these must be written.
+	// answerFraction is the fraction in which the responses to these must be written. A stop that begins later than the signal by
+	// spareFraction still ends in time. maxLateFraction limits by how much a later one is shortened.
 	drainFraction  = 0.5
 	cancelFraction = 0.85
 	answerFraction = 0.05
+
+	spareFraction   = 0.05
+	maxLateFraction = 0.25
 	// maxListeners is the largest number of addresses that an instance listens on.
 	maxListeners = 5
 	// defaultOpenFiles is the number of descriptors of a process whose limit is not known; maxOpenFiles is one beyond which a
@@ -236,10 +240,11 @@
 // period, and waits for accepted calls to finish.
 func (inst *instance) leave() error {
 	grace := site.Seconds(inst.settings.Bounds.Grace)
-	inst.log.StateChange("node: leaving", logrus.Fields{"grace": grace.Milliseconds()})
-	start := inst.clock.Now()
+	late := lateStart(inst.loop.Standstill(), grace)
+	inst.log.StateChange("node: leaving", logrus.Fields{"grace": grace.Milliseconds(), "late": late.Milliseconds()})
+	start := inst.clock.Now().Add(-late)
 	timeout := time.Duration(cancelFraction * float64(grace))
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout-late)
 	defer cancel()
 	if err := inst.loop.Post(ctx, hub.Shutdown{Until: start.Add(timeout)}); err != nil {
 		return err
@@ -258,6 +263,14 @@
 	return nil
 }
 
+// lateStart returns the time by which a stop must be shortened to end in time if the process may have stood still before it. The grace
+// time counts from the signal, which has come at any time meanwhile. A stop is not shortened by more than that needs, because a call that
+// is canceled before the last sixth of the grace time counts as lost.
+func lateStart(standstill, grace time.Duration) time.Duration {
+	part := func(fraction float64) time.Duration { return time.Duration(fraction * float64(grace)) }
+	return min(max(0, standstill-part(spareFraction)), part(maxLateFraction))
+}
+
 // reload validates the settings file again on SIGHUP. Changed settings take effect at the next start; none of
 // them changes while the process runs.
 func (inst *instance) reload(ctx context.Context, file string) {
--- a/goldcreststand/internal/crowd/grace_test.go
+++ b/goldcreststand/internal/crowd/grace_test.go
@@ -29,16 +29,26 @@
 // Guards against the same in a process that stands still while the time passes in which it was to answer them.
 func TestRequestsBehindSlowOneAtEndOfStopOfStandingProcess(t *testing.T) {
 	requestsBehindSlowOne(t, func(p *process) func() {
-		timer := time.AfterFunc(1600*time.Millisecond, func() { time.AfterFunc(250*time.Millisecond, p.suspend()) })
+		timer := time.AfterFunc(3300*time.Millisecond, func() { time.AfterFunc(400*time.Millisecond, p.suspend()) })
 		return func() { timer.Stop() }
 	})
 }
 
-// requestsBehindSlowOne tests a stop whose grace time is 2 s. The disturbance begins with the signal, and the function that it returns is
+// Guards against a process that is killed before its stop has ended, with the requests that wait in it, because it stands still when
+// the signal is sent and counts its time from when it goes on.
+func TestRequestsBehindSlowOneAtEndOfStopThatIsNoticedLate(t *testing.T) {
+	requestsBehindSlowOne(t, func(p *process) func() {
+		time.AfterFunc(900*time.Millisecond, p.suspend())
+		return func() {}
+	})
+}
+
+// requestsBehindSlowOne tests a stop whose grace time is 4 s. The disturbance begins with the signal, and the function that it returns is
 // called when the process has ended.
 func requestsBehindSlowOne(t *testing.T, disturb func(p *process) (end func())) {
 	t.Helper()
-	d, ps := newCrossing(t, 15*time.Second, 1, 2)
+	const grace = 4
+	d, ps := newCrossing(t, 15*time.Second, 1, grace)
 	p, tl := ps[0], newTally(t, d)
 	p.serve()
 	links := make([]*link, 50)
@@ -58,8 +68,10 @@
 	end := disturb(p)
 	start := time.Now()
 	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	kill := time.AfterFunc(grace*time.Second, func() { _ = p.cmd.Process.Kill() })
+	defer kill.Stop()
 	p.requireEnded()
-	t.Logf("the process ended %v after the signal, with %v s of grace", time.Since(start), d.grace)
+	t.Logf("the process ended %v after the signal, with %v s of grace", time.Since(start), grace)
 	end()
 	for _, l := range links {
 		l.close()
--- a/goldcreststand/internal/hub/loop.go
+++ b/goldcreststand/internal/hub/loop.go
@@ -63,10 +63,13 @@
 	snapshot  atomic.Pointer[spread.Snapshot]
 	freshness atomic.Pointer[freshnessAt]
 	usage     atomic.Pointer[UsageStatus]
+	ticks     atomic.Pointer[tickTimes]
 	state     *state
-	lastTick  time.Duration
 }
 
+// tickTimes are readings of the boot-time clock at ticks: the last one, the last late one and the one before that.
+type tickTimes struct{ last, late, beforeLate time.Duration }
+
 // freshnessAt is the freshness of the instance at a point in time.
 type freshnessAt struct {
 	Freshness
@@ -85,6 +88,7 @@
 	}
 	l.snapshot.Store(l.state.snapshot())
 	l.freshness.Store(&freshnessAt{l.state.freshness(), l.state.now})
+	l.startTicks()
 	return l
 }
 
@@ -139,7 +143,7 @@
 	defer close(l.done)
 	ticker := l.clock.NewTicker(tickInterval)
 	defer ticker.Stop()
-	l.lastTick = l.elapsed.Elapsed()
+	l.startTicks()
 	// Callers may be waiting for a restarted instance, so the first tick runs at once.
 	l.handle(tick{})
 	for {
@@ -154,15 +158,40 @@
 	}
 }
 
+// startTicks lets the next tick be due after tickInterval.
+func (l *Loop) startTicks() {
+	now := l.elapsed.Elapsed()
+	l.ticks.Store(&tickTimes{last: now, late: now, beforeLate: now})
+}
+
+// Standstill returns the longest time for which an event may have waited that is noticed now, such as a signal: the time since control
+// last ran on time. It is 0 unless a tick is late, or was late just now, by minDelay or more.
+func (l *Loop) Standstill() time.Duration {
+	now, t := l.elapsed.Elapsed(), l.ticks.Load()
+	switch {
+	case now-t.last >= tickInterval+minDelay:
+		return now - t.last
+	case now-t.late < tickInterval && t.late > t.beforeLate:
+		return now - t.beforeLate
+	default:
+		return 0
+	}
+}
+
 // tick detects pauses of the process and records the queued outcomes.
 func (l *Loop) tick() {
 	at := l.elapsed.Elapsed()
-	took := at - l.lastTick
+	t := *l.ticks.Load()
+	took := at - t.last
 	paused := took > minPause
-	if delay := took - tickInterval; !paused && delay >= minDelay {
-		l.state.logChange("tick was late", logrus.Fields{"delay": delay.Milliseconds()})
+	if delay := took - tickInterval; delay >= minDelay {
+		t.beforeLate, t.late = t.last, at
+		if !paused {
+			l.state.logChange("tick was late", logrus.Fields{"delay": delay.Milliseconds()})
+		}
 	}
-	l.lastTick = at
+	t.last = at
+	l.ticks.Store(&t)
 	for range len(l.outcomes) {
 		l.state.recordOutcome(<-l.outcomes)
 	}
--- a/goldcreststand/internal/hub/loop_test.go
+++ b/goldcreststand/internal/hub/loop_test.go
@@ -55,6 +55,37 @@
 	}
 }
 
+// Guards against a stop that counts its time from a signal which a process without processor time noticed late.
+func TestStandstill(t *testing.T) {
+	const late = tickInterval + minDelay
+	tests := []struct {
+		name string
+		// ticks are the times of ticks, and at is the time of the question.
+		ticks []time.Duration
+		at    time.Duration
+		want  time.Duration
+	}{
+		{name: "on time", ticks: []time.Duration{tickInterval, 2 * tickInterval}, at: 2*tickInterval + 1},
+		{name: "tick is due", ticks: []time.Duration{tickInterval}, at: tickInterval + late - 1},
+		{name: "tick is late", ticks: []time.Duration{tickInterval}, at: tickInterval + late, want: late},
+		{name: "tick was late just now", ticks: []time.Duration{tickInterval, tickInterval + late}, at: tickInterval + late + 1, want: late + 1},
+		{name: "tick was late and the next on time", ticks: []time.Duration{late, late + 1}, at: late + 2, want: late + 2},
+		{name: "tick was late before", ticks: []time.Duration{late, late + tickInterval}, at: late + tickInterval + 1},
+		{name: "tick was late and the next is due", ticks: []time.Duration{late}, at: late + tickInterval},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := new(steppedElapsed)
+			l := New(Self{Member: member("i1")}, clockwork.NewFakeClock(), clock, make(actionQueue, 16), new(messageLog))
+			for _, clock.d = range tt.ticks {
+				l.tick()
+			}
+			clock.d = tt.at
+			require.Equal(t, tt.want, l.Standstill())
+		})
+	}
+}
+
 // Guards against a start that reads the list of members only at the second tick.
 func TestStartReadsMembersAtOnce(t *testing.T) {
 	done := make(actionQueue, 16)
