--- a/goldcreststand/internal/cmd/instance.go
+++ b/goldcreststand/internal/cmd/instance.go
@@ -231,23 +231,34 @@
 }
 
 // leave withdraws the instance, keeps serving callers that still use its address for part of the grace
-// period, and waits for accepted calls to finish.
+// period, and waits for accepted calls to finish. They do not depend on control, which may not take the event in time: the error
+// is returned after the shutdown.
 func (inst *instance) leave() error {
 	grace := site.Seconds(inst.settings.Bounds.Grace)
 	inst.log.StateChange("node: leaving", logrus.Fields{"grace": grace.Milliseconds()})
 	start := inst.clock.Now()
 	timeout := time.Duration(shutdownFraction * float64(grace))
+	drain := time.Duration(drainFraction * float64(grace))
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if err := inst.loop.Post(ctx, hub.Shutdown{Until: start.Add(timeout)}); err != nil {
-		return err
-	}
-	inst.clock.Sleep(time.Duration(drainFraction*float64(grace)) - inst.clock.Since(start))
+	err := inst.withdraw(ctx, drain, hub.Shutdown{Until: start.Add(timeout)})
+	inst.clock.Sleep(drain - inst.clock.Since(start))
 	if err := inst.server.Shutdown(ctx); err != nil {
 		inst.log.StateChange("node: shutdown ended with calls in flight", logrus.Fields{"error": err.Error()})
 	}
 	inst.flushUsage()
-	return nil
+	return err
+}
+
+// withdraw asks control to remove the instance from the list of members, at most for the time.
+func (inst *instance) withdraw(ctx context.Context, limit time.Duration, ev hub.Shutdown) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	err := inst.loop.Post(ctx, ev)
+	if err != nil {
+		inst.log.StateChange("node: control did not take the shutdown", logrus.Fields{"error": err.Error()})
+	}
+	return err
 }
 
 // reload validates the settings file again on SIGHUP. Changed settings take effect at the next start; none of
--- a/goldcreststand/internal/cmd/keys_test.go
+++ b/goldcreststand/internal/cmd/keys_test.go
@@ -86,11 +86,32 @@
 	lines  *transcript
 	caller *http.Client
 	n      int
-	stop   func()
+	// file is the path of the settings.
+	file string
+	stop func()
+	// flush writes the log lines that wait, and ends the log.
+	flush func()
 }
 
 // startSite starts an instance with the contracts, if any, and waits until it is ready.
 func startSite(t *testing.T, store string, lines *transcript, contracts ...string) *testSite {
+	s := newSite(t, store, lines, contracts...)
+	ended := s.start()
+	stop := s.stop
+	s.stop = sync.OnceFunc(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		s.flush()
+	})
+	t.Cleanup(s.stop)
+	s.awaitReady()
+	return s
+}
+
+// newSite returns an instance that has not started.
+func newSite(t *testing.T, store string, lines *transcript, contracts ...string) *testSite {
 	_, peerPort, err := net.SplitHostPort(freeAddress(t))
 	require.NoError(t, err)
 	file := filepath.Join(t.TempDir(), "node.json")
@@ -106,26 +127,33 @@
 	writer := logs.NewAsyncWriter(lines, clock)
 	log, err := logs.New(writer, "info", true)
 	require.NoError(t, err)
-	s := &testSite{t: t, lines: lines, caller: &http.Client{Timeout: patience}}
+	s := &testSite{t: t, lines: lines, caller: &http.Client{Timeout: patience}, file: file}
 	s.inst = newInstance(settings, clock, logs.NewRateLimitedLogger(log, writer, clock))
 	ctx, cancel := context.WithCancel(context.Background())
-	writerCtx, stopWriter := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go writer.Run(writerCtx)
-	go func() { ended <- s.inst.run(ctx, file) }()
-	s.stop = sync.OnceFunc(func() {
+	go writer.Run(ctx)
+	s.flush = sync.OnceFunc(func() {
 		cancel()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-		stopWriter()
 		<-writer.Done()
 	})
-	t.Cleanup(s.stop)
-	require.Eventually(t, func() bool { return s.inst.loop.Load().Ready && s.call("/x/", "") == "200 " }, patience, 10*time.Millisecond)
+	t.Cleanup(s.flush)
 	return s
 }
 
+// start runs the instance until stop is called. The channel receives its result.
+func (s *testSite) start() (ended <-chan error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	s.t.Cleanup(cancel)
+	result := make(chan error, 1)
+	go func() { result <- s.inst.run(ctx, s.file) }()
+	return result
+}
+
+// awaitReady waits until the instance serves calls.
+func (s *testSite) awaitReady() {
+	require.Eventually(s.t, func() bool { return s.inst.loop.Load().Ready && s.call("/x/", "") == "200 " }, patience, 10*time.Millisecond)
+}
+
 // call makes a call on a persistent connection, and returns the status and the organisation that the server was told.
 func (s *testSite) call(path, key string) string {
 	s.n++
--- a/goldcreststand/internal/cmd/listener_test.go
+++ b/goldcreststand/internal/cmd/listener_test.go
@@ -48,43 +48,68 @@
 func (unsafeHandler) Kind(*http.Request) rules.Kind { return rules.KindUnsafe }
 
 func testPlannedStop(t *testing.T, l *listener) {
-	const callers = 64
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() {
 		ended <- serveAll(ctx, []*listener{l}, 10*time.Second, clockwork.NewRealClock(), logrus.New())
 	}()
-	var lost, served atomic.Int32
-	var wg sync.WaitGroup
+	c := startKeptCallers(t, l.address)
+	stop()
+	c.wg.Wait()
+	require.NoError(t, <-ended)
+	require.Zero(t, c.lost.Load())
+}
+
+// keptCallers are callers that send calls on kept connections until a response says that the connection ends.
+type keptCallers struct {
+	wg sync.WaitGroup
+	// lost counts calls without a response.
+	served, lost atomic.Int32
+	conns        []net.Conn
+}
+
+// startKeptCallers starts callers and waits until they have got responses.
+func startKeptCallers(t *testing.T, address string) *keptCallers {
+	const callers = 64
+	c := new(keptCallers)
 	for range callers {
 		var nc net.Conn
 		require.Eventually(t, func() (ok bool) {
 			var err error
-			nc, err = net.Dial("tcp", l.address)
+			nc, err = net.Dial("tcp", address)
 			return err == nil
 		}, 5*time.Second, time.Millisecond)
-		wg.Go(func() {
-			defer func() { _ = nc.Close() }()
-			br := bufio.NewReader(nc)
-			for {
-				time.Sleep(time.Millisecond)
-				_, _ = fmt.Fprintf(nc, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx")
-				resp, err := http.ReadResponse(br, nil)
-				if err != nil {
-					lost.Add(1)
-					return
-				}
-				served.Add(1)
-				_, _ = br.Discard(int(resp.ContentLength))
-				if resp.Close {
-					return
-				}
-			}
-		})
+		c.conns = append(c.conns, nc)
+		c.wg.Go(func() { c.call(nc) })
 	}
-	require.Eventually(t, func() bool { return served.Load() > 4*callers }, 10*time.Second, time.Millisecond)
-	stop()
-	wg.Wait()
-	require.NoError(t, <-ended)
-	require.Zero(t, lost.Load())
+	t.Cleanup(c.cutOff)
+	require.Eventually(t, func() bool { return c.served.Load() > 4*callers }, 10*time.Second, time.Millisecond)
+	return c
+}
+
+func (c *keptCallers) call(nc net.Conn) {
+	defer func() { _ = nc.Close() }()
+	br := bufio.NewReader(nc)
+	for {
+		time.Sleep(time.Millisecond)
+		_, _ = fmt.Fprintf(nc, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx")
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			c.lost.Add(1)
+			return
+		}
+		c.served.Add(1)
+		_, _ = br.Discard(int(resp.ContentLength))
+		if resp.Close {
+			return
+		}
+	}
+}
+
+// cutOff closes the connections, as the end of the process does, and waits for the callers.
+func (c *keptCallers) cutOff() {
+	for _, nc := range c.conns {
+		_ = nc.Close()
+	}
+	c.wg.Wait()
 }
