cmd: a failed listener ends the process after a shutdown

Callers of one address were cut off, with calls in flight, when the listener of another address failed: site returned at once, and serve closed all servers. Both now shut down as in a planned stop, within the same time, and end with the error of the listener.

TestFailedListenerOfInstanceEndsAfterShutdown and TestFailedListenerEndsAfterShutdown failed before: 64 of 64 callers lost a call in each (instance_test.go:52, listener_test.go:152, "Should be zero, but was 64").

--- a/goldcreststand/internal/cmd/instance.go
+++ b/goldcreststand/internal/cmd/instance.go
@@ -156,7 +156,7 @@
 	}
 }
 
-// run serves until the context ends, then leaves.
+// run serves until the context ends or a listener fails, then leaves.
 func (inst *instance) run(ctx context.Context, file string) error {
 	inst.log.StateChange("node: started", logrus.Fields{
 		"domain": inst.settings.Domain, "version": Version, "traffic": inst.settings.Listen.Traffic.String(),
@@ -178,6 +178,8 @@
 	var err error
 	select {
 	case err = <-failed:
+		inst.log.StateChange("node: listener failed", logrus.Fields{"error": err.Error()})
+		err = errs.Combine(err, inst.leave())
 	case <-ctx.Done():
 		err = inst.leave()
 	}
--- a/goldcreststand/internal/cmd/instance_test.go
+++ b/goldcreststand/internal/cmd/instance_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"goldcreststand.example/core/budget"
 	"goldcreststand.example/goldcreststand/internal/hub"
 )
 
@@ -30,3 +32,22 @@
 	require.Zero(t, c.lost.Load())
 	require.Less(t, took, 2*time.Second)
 }
+
+// Guards against the failure of one listener that cuts off the calls at the others.
+func TestFailedListenerOfInstanceEndsAfterShutdown(t *testing.T) {
+	store, address := newTestStore(t)
+	store.put("servers", "s1", fmt.Sprintf(`{"service":"one","address":%q,"zone":"z","version":"v1","slots":4,"state":"ready"}`, recordingServer(t, new(transcript))))
+	putOrganisations(store, 1, `[]`)
+	s := newSite(t, address, new(transcript))
+	s.inst.settings.Bounds.Grace = 2
+	fail := make(failingServer)
+	s.inst.httpListeners = append(s.inst.httpListeners, &listener{address: "127.0.0.1:0", class: budget.ClassMetrics, srv: fail})
+	ended := s.start()
+	s.awaitReady()
+	c := startKeptCallers(t, s.inst.settings.Listen.Traffic.String())
+	close(fail)
+	err := <-ended
+	c.cutOff()
+	require.ErrorIs(t, err, errListenerFailed)
+	require.Zero(t, c.lost.Load())
+}
--- a/goldcreststand/internal/cmd/listener.go
+++ b/goldcreststand/internal/cmd/listener.go
@@ -118,8 +118,8 @@
 	Infof(format string, args ...any)
 }
 
-// serveAll serves until the context ends or a listener fails. At the end of the context it waits for calls in
-// flight, at most for the drain time.
+// serveAll serves until the context ends or a listener fails. It then waits for calls in flight, at most for the drain
+// time.
 func serveAll(ctx context.Context, ls []*listener, drain time.Duration, clock clockwork.Clock, log infoLog) error {
 	failed := make(chan error, len(ls))
 	runCtx, stop := context.WithCancel(context.Background())
@@ -133,13 +133,14 @@
 		go func() { failed <- l.srv.Serve(sock) }()
 		go l.run(runCtx)
 	}
+	var err error
 	select {
-	case err := <-failed:
-		return errs.Combine(err, closeAll(ls))
+	case err = <-failed:
+		log.Infof("listener failed: %v", err)
 	case <-ctx.Done():
 	}
 	log.Infof("draining calls in flight")
-	return shutdown(ls, drain, clock)
+	return errs.Combine(err, shutdown(ls, drain, clock))
 }
 
 // shutdown ends the listeners. net/http closes connections on which a request has arrived and was not read yet, so that
--- a/goldcreststand/internal/cmd/listener_test.go
+++ b/goldcreststand/internal/cmd/listener_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -113,3 +114,40 @@
 	}
 	c.wg.Wait()
 }
+
+// failingServer is an HTTP server whose listener fails when the channel is closed.
+type failingServer chan struct{}
+
+var errListenerFailed = errors.New("listener failed")
+
+// Serve returns an error once the channel is closed.
+func (s failingServer) Serve(net.Listener) error {
+	<-s
+	return errListenerFailed
+}
+
+// Shutdown does nothing.
+func (failingServer) Shutdown(context.Context) error { return nil }
+
+// Close does nothing.
+func (failingServer) Close() error { return nil }
+
+// Guards against the failure of one listener that cuts off the calls at the others.
+func TestFailedListenerEndsAfterShutdown(t *testing.T) {
+	h := unsafeHandler(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(2 * time.Millisecond)
+		_, _ = w.Write([]byte("ok"))
+	})
+	traffic := newCallerListener("traffic", freeAddress(t), h, clockwork.NewRealClock())
+	fail := make(failingServer)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- serveAll(t.Context(), []*listener{traffic, {name: "admin", address: "127.0.0.1:0", srv: fail}}, 10*time.Second, clockwork.NewRealClock(), logrus.New())
+	}()
+	c := startKeptCallers(t, traffic.address)
+	close(fail)
+	err := <-ended
+	c.cutOff()
+	require.ErrorIs(t, err, errListenerFailed)
+	require.Zero(t, c.lost.Load())
+}
