cmd: http1 serves the operators' address

All requests to this address are GET: status, livez, readyz, debug/vars.

The operators' address is now served by http1, whose readers alone end idle connections. Connections that are idle for a minute are closed, heads are limited to 64 KB, and an operator that takes no bytes for a minute is cut off; the handlers need nothing else from net/http. newListener serves both addresses; a handler that tells the kinds of calls is served concurrently as before.

TestOperatorsPages requests all pages. "One by one" of TestPlannedStopAnswersAcceptedCalls tests http1 without kinds now, since no listener that is shut down uses net/http.

--- a/goldcreststand/internal/cmd/daemon.go
+++ b/goldcreststand/internal/cmd/daemon.go
@@ -50,6 +50,9 @@
 	callers *http1.Metrics
 }
 
+// The calls of a connection are served concurrently only by a handler that tells their kinds.
+var _ http1.Kinds = (*proxy.Handler)(nil)
+
 // connLog logs what happens to callers' connections.
 type connLog struct{ log *logs.PrefixedLogger }
 
@@ -93,10 +96,11 @@
 		return err
 	}
 	d.start(componentsCtx, sock)
+	log := http1.WithLog(connLog{logs.WithPrefix(d.log, "serve")})
 	err = serveAll(d.leaveContext(ctx, componentsCtx), []*listener{
-		newCallerListener("traffic", d.settings.Traffic.Address.String(), d.traffic, d.clock,
-			http1.WithMetrics(d.callers), http1.WithLog(connLog{logs.WithPrefix(d.log, "serve")})),
-		newListener("admin", d.settings.Admin.Address.String(), admin.New(d.settings.Name, d.settings.Domain, d.loop, d.metrics)),
+		newListener("traffic", d.settings.Traffic.Address.String(), d.traffic, d.clock, http1.WithMetrics(d.callers), log),
+		newListener("admin", d.settings.Admin.Address.String(), admin.New(d.settings.Name, d.settings.Domain, d.loop, d.metrics),
+			d.clock, http1.WithStallTimeout(operatorStallTimeout), log),
 	}, d.settings.Traffic.Drain.Std(), d.clock, logs.WithPrefix(d.log, "serve"))
 	stop()
 	d.wait()
--- a/goldcreststand/internal/cmd/daemon_test.go
+++ b/goldcreststand/internal/cmd/daemon_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -16,10 +18,10 @@
 	"goldcreststand.example/core/member"
 )
 
-// Guards against a graceful shutdown that does not announce the leave, returns an error or does not end.
-func TestShutdownLeavesFirst(t *testing.T) {
+// newTestDaemon returns a daemon beside an empty platform.
+func newTestDaemon(t *testing.T, admin string) *daemon {
 	platform := httptest.NewServer(nil)
-	defer platform.Close()
+	t.Cleanup(platform.Close)
 	file := filepath.Join(t.TempDir(), "a.toml")
 	require.NoError(t, os.WriteFile(file, []byte(`
 name = "a"
@@ -30,7 +32,7 @@
 address = "127.0.0.1:0"
 seeds = ["127.0.0.1:1"]
 [admin]
-address = "127.0.0.1:0"
+address = "`+admin+`"
 [platform]
 url = "`+platform.URL+`"
 `), 0o600))
@@ -38,7 +40,12 @@
 	require.NoError(t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d := newDaemon(s, clockwork.NewRealClock(), log)
+	return newDaemon(s, clockwork.NewRealClock(), log)
+}
+
+// Guards against a graceful shutdown that does not announce the leave, returns an error or does not end.
+func TestShutdownLeavesFirst(t *testing.T) {
+	d := newTestDaemon(t, "127.0.0.1:0")
 	ctx, cancel := context.WithCancel(t.Context())
 	result := make(chan error, 1)
 	go func() { result <- d.run(ctx) }()
@@ -52,3 +59,32 @@
 	}
 	require.Equal(t, member.StateLeft, d.loop.Members()[0].State)
 }
+
+// Guards against pages for operators that the server of callers' calls does not serve.
+func TestOperatorsPages(t *testing.T) {
+	address := freeAddress(t)
+	d := newTestDaemon(t, address)
+	ctx, cancel := context.WithCancel(t.Context())
+	result := make(chan error, 1)
+	go func() { result <- d.run(ctx) }()
+	for path, want := range map[string]int{
+		"/status": http.StatusOK, "/livez": http.StatusOK, "/readyz": http.StatusServiceUnavailable, "/debug/vars": http.StatusOK,
+		"/none": http.StatusNotFound,
+	} {
+		var resp *http.Response
+		require.Eventually(t, func() bool {
+			var err error
+			resp, err = http.Get("http://" + address + path)
+			return err == nil
+		}, patience, 10*time.Millisecond)
+		b, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, want, resp.StatusCode, path)
+		if path == "/status" || path == "/debug/vars" {
+			require.True(t, json.Valid(b), path)
+		}
+	}
+	cancel()
+	require.NoError(t, <-result)
+}
--- a/goldcreststand/internal/cmd/listener.go
+++ b/goldcreststand/internal/cmd/listener.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -27,6 +26,9 @@
 	controlIdleTimeout = time.Minute
 )
 
+// operatorStallTimeout is the time for which an operator may take none of a response. The links of operators may be slow.
+const operatorStallTimeout = time.Minute
+
 // maxLinger limits the time for which a process that leaves still takes calls. Callers that keep a connection open send
 // their next call within it, and its response says that the connection ends.
 const maxLinger = time.Second
@@ -53,10 +55,14 @@
 	leaving atomic.Bool
 }
 
-// newListener returns a listener that has not started.
-func newListener(name, address string, h http.Handler) *listener {
+// newListener returns a listener that has not started. Calls are served concurrently if h tells that they are safe.
+func newListener(name, address string, h http.Handler, clock clockwork.Clock, opts ...http1.Option) *listener {
 	l := &listener{name: name, address: address}
-	l.srv = &http.Server{Handler: l.announceEnd(h), ReadHeaderTimeout: readHeaderTimeout}
+	served := l.announceEnd(h)
+	if k, ok := h.(http1.Kinds); ok {
+		served = leavingHandler{Handler: served, Kinds: k}
+	}
+	l.srv = http1.New(served, clock, append(opts, http1.WithHeaderTimeout(readHeaderTimeout))...)
 	return l
 }
 
@@ -73,19 +79,6 @@
 	return l
 }
 
-// newCallerListener returns a listener for callers, whose calls are read ahead. It has not started.
-func newCallerListener(name, address string, h callHandler, clock clockwork.Clock, opts ...http1.Option) *listener {
-	l := &listener{name: name, address: address}
-	l.srv = http1.New(leavingHandler{Handler: l.announceEnd(h), Kinds: h}, clock, append(opts, http1.WithHeaderTimeout(readHeaderTimeout))...)
-	return l
-}
-
-// callHandler is a handler that tells the kinds of calls.
-type callHandler interface {
-	http.Handler
-	http1.Kinds
-}
-
 // leavingHandler is a handler that announces the end, with the kinds of the handler that it calls.
 type leavingHandler struct {
 	http.Handler
@@ -143,8 +136,7 @@
 	return errs.Combine(err, shutdown(ls, drain, clock))
 }
 
-// shutdown ends the listeners. net/http closes connections on which a request has arrived and was not read yet, so that
-// callers are first told that their connections end, and what has arrived is read.
+// shutdown ends the listeners. Callers are first told that their connections end, so that fewer requests cross a close.
 func shutdown(ls []*listener, drain time.Duration, clock clockwork.Clock) error {
 	ctx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
@@ -155,11 +147,7 @@
 	boot.WaitForTimers(ctx, clock)
 	var group errs.Group
 	for _, l := range ls {
-		err := l.srv.Shutdown(ctx)
-		if errors.Is(err, http.ErrServerClosed) {
-			err = nil
-		}
-		group.Add(err)
+		group.Add(l.srv.Shutdown(ctx))
 	}
 	return group.Err()
 }
--- a/goldcreststand/internal/cmd/listener_test.go
+++ b/goldcreststand/internal/cmd/listener_test.go
@@ -36,9 +36,11 @@
 	})
 	address := freeAddress(t)
 	t.Run("read ahead", func(t *testing.T) {
-		testPlannedStop(t, newCallerListener("traffic", address, h, clockwork.NewRealClock()))
+		testPlannedStop(t, newListener("traffic", address, h, clockwork.NewRealClock()))
+	})
+	t.Run("one by one", func(t *testing.T) {
+		testPlannedStop(t, newListener("traffic", address, http.HandlerFunc(h), clockwork.NewRealClock()))
 	})
-	t.Run("one by one", func(t *testing.T) { testPlannedStop(t, newListener("traffic", address, h)) })
 }
 
 // unsafeHandler is a handler whose calls are unsafe.
@@ -138,7 +140,7 @@
 		time.Sleep(2 * time.Millisecond)
 		_, _ = w.Write([]byte("ok"))
 	})
-	traffic := newCallerListener("traffic", freeAddress(t), h, clockwork.NewRealClock())
+	traffic := newListener("traffic", freeAddress(t), h, clockwork.NewRealClock())
 	fail := make(failingServer)
 	ended := make(chan error, 1)
 	go func() {
@@ -151,3 +153,45 @@
 	require.ErrorIs(t, err, errListenerFailed)
 	require.Zero(t, c.lost.Load())
 }
+
+// Guards against a planned stop that closes a kept connection as idle although its reader has just read a request.
+func TestPlannedStopAnswersARequestThatIsBeingRead(t *testing.T) {
+	const drain = 2 * time.Second
+	h := unsafeHandler(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) })
+	clock := clockwork.NewRealClock()
+	for name, l := range map[string]*listener{"callers": newListener("traffic", "", h, clock), "operators": newListener("admin", "", http.HandlerFunc(h), clock)} {
+		t.Run(name, func(t *testing.T) {
+			sock, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			late := &lateListener{Listener: sock, conns: make(chan *lateConn, 1)}
+			go func() { _ = l.srv.Serve(late) }()
+			nc, err := net.Dial("tcp", sock.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = nc.Close() }()
+			require.NoError(t, nc.SetDeadline(time.Now().Add(patience)))
+			br := bufio.NewReader(nc)
+			call := func() { _, _ = fmt.Fprint(nc, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n") }
+			call()
+			resp, err := http.ReadResponse(br, nil)
+			require.NoError(t, err)
+			_, _ = br.Discard(int(resp.ContentLength))
+			server := <-late.conns
+			server.stop.Store(true)
+			call()
+			<-server.reached
+			ended := make(chan error, 1)
+			go func() { ended <- shutdown([]*listener{l}, drain, clock) }()
+			// By three quarters of the drain time the shutdown has looked for idle connections.
+			select {
+			case <-server.ended:
+			case <-time.After(drain * 3 / 4):
+			}
+			close(server.release)
+			resp, err = http.ReadResponse(br, nil)
+			require.NoError(t, err)
+			require.True(t, resp.Close)
+			require.NoError(t, nc.Close())
+			require.NoError(t, <-ended)
+		})
+	}
+}
