goldcreststand: the end of the log's reader does not end the process

When the reader of its standard output or standard error ended, the next line of the log ended an instance by SIGPIPE, and all callers were cut off with their calls in flight.

--- a/goldcreststand/internal/crowd/process_test.go
+++ b/goldcreststand/internal/crowd/process_test.go
@@ -77,10 +77,12 @@
 	// settings is the path of the settings file.
 	settings string
 	// env holds variables of the environment.
-	env   []string
-	cmd   *exec.Cmd
-	log   *bytes.Buffer
-	ended chan error
+	env []string
+	// output replaces log unless it is nil.
+	output *os.File
+	cmd    *exec.Cmd
+	log    *bytes.Buffer
+	ended  chan error
 	// Addresses of the instance.
 	calls, ready, lookup, metrics, peers netip.AddrPort
 	// mostFiles is the largest number of open descriptors that was seen.
@@ -192,6 +194,9 @@
 	p.cmd = cmd
 	p.cmd.Env = p.env
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	if p.output != nil {
+		p.cmd.Stdout, p.cmd.Stderr = p.output, p.output
+	}
 	require.NoError(p.t, p.cmd.Start())
 	go func() { ended <- cmd.Wait() }()
 	p.t.Cleanup(func() {
--- a/goldcreststand/internal/crowd/stops_test.go
+++ b/goldcreststand/internal/crowd/stops_test.go
@@ -3,8 +3,10 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -210,3 +212,27 @@
 	}
 	tl.requireNoneLost()
 }
+
+// Guards against a process that SIGPIPE ends, with the calls in flight, when the reader of its log has ended.
+func TestEndOfLogReaderDoesNotEndTheProcess(t *testing.T) {
+	p := prepare(t, limits{memoryMB: 136, maxFiles: 2870, maxBody: maxBody}, newDeployment(t, configuration(maxBody), 4))
+	r, w, err := os.Pipe()
+	require.NoError(t, err)
+	defer func() { _ = w.Close() }()
+	p.output = w
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		_, _ = io.Copy(io.Discard, r)
+	}()
+	p.serve()
+	require.NoError(t, r.Close())
+	<-drained
+	for range 5 {
+		// Each signal is logged.
+		require.NoError(t, p.cmd.Process.Signal(syscall.SIGHUP))
+		time.Sleep(200 * time.Millisecond)
+		p.requireOrdinaryCall()
+	}
+	p.requireCleanEnd()
+}
