edge: a call without a valid key does not cut off those behind it

On a connection with several requests, safe calls that had been passed on to a server got no response when a call before them had a body and no valid key: its 401 ended the connection at once, also if the body had arrived with the head and calls behind it had been read. The connection now ends after the calls that were read, as in a planned stop. If the rest of the body is missing, nothing behind it was read, and the 401 ends the connection as before.

--- a/goldcreststand/internal/edge/authorization.go
+++ b/goldcreststand/internal/edge/authorization.go
@@ -48,8 +48,9 @@
 	}
 	if c.r.ContentLength != 0 {
 		// The response does not wait for the body. What arrives of it until the deadline is discarded, so that the caller
-		// can read the response, and the connection ends, since the rest would be taken for the next request.
-		w.Header().Set("Connection", "close")
+		// can read the response, and the connection ends, since the rest would be taken for the next request. Calls that were
+		// read behind a body that has arrived are answered before.
+		announceEnd(w)
 		_ = http.NewResponseController(w).SetReadDeadline(c.arrived.Add(writeGrace))
 	}
 	return rej
--- a/goldcreststand/internal/edge/authorization_test.go
+++ b/goldcreststand/internal/edge/authorization_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -302,3 +303,27 @@
 	require.GreaterOrEqual(t, waited(access.Organisation{Name: "a", Keys: []access.Key{"k"}, Priority: &urgent}), 1150*time.Millisecond)
 	require.Less(t, waited(access.Organisation{Name: "a", Keys: []access.Key{"k"}}), 1150*time.Millisecond)
 }
+
+// Guards against calls that were passed on and get no response, because a call before them on their connection has a body and no
+// valid key.
+func TestUnauthorizedBodyIsFollowedByCalls(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, "s1", holdFirst(release))
+	f := newHarness(t, b)
+	f.setTimeout(20 * time.Second)
+	f.public = ""
+	f.organisations(map[access.Key]ident.TenantName{"k1": "one"})
+	p := newPipeline(f)
+	call := func(method, path, key, body string) string {
+		return method + " " + path + " HTTP/1.1\r\nHost: host.example\r\n" + fieldRequest + ": r\r\n" + fieldTimeout + ": 20000\r\n" +
+			fieldKey + ": " + key + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	}
+	_, err := io.WriteString(p, call("GET", "/safe/first", "k1", "")+call("POST", "/safe/1", "none", "x")+call("GET", "/safe/2", "k1", ""))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return b.count() == 2 }, 10*time.Second, time.Millisecond)
+	close(release)
+	for _, want := range []int{http.StatusOK, http.StatusUnauthorized, http.StatusOK} {
+		resp, _ := p.next()
+		require.Equal(t, want, resp.StatusCode)
+	}
+}
