http1: the timeout for a head spares a request that has arrived

A request that had arrived in time got no answer when the process was so late that the deadline of the read had passed: a read behind its deadline fails although bytes have arrived. A new connection was reset, and one with the first part of a head was closed.

What has arrived is now read behind the deadline too. A caller gains no time for a head that has begun, as the deadline has passed again behind each such read.

--- a/goldcreststand/internal/http1/conn.go
+++ b/goldcreststand/internal/http1/conn.go
@@ -214,27 +214,42 @@
 	return !c.closing
 }
 
-// resumeRead reports whether a read that failed with the error may be repeated: it was interrupted by interruptReader, and bytes have
-// arrived, which a process that is short of processor time may not have read yet. The interrupt is over then.
+// resumeRead reports whether a read that failed with the error may be repeated: its deadline has passed or it was interrupted by
+// interruptReader, and bytes have arrived, which a process that is short of processor time may not have read yet.
 func (c *conn) resumeRead(err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pendingEnd == endNone || !errors.Is(err, os.ErrDeadlineExceeded) || !readable(c.nc) {
+	if c.closing || !errors.Is(err, os.ErrDeadlineExceeded) || !readable(c.nc) {
 		return false
 	}
-	c.continueReading()
+	c.extendRead()
 	return true
 }
 
 // continueReading lets the reader go on after interruptReader. c.mu is locked.
 func (c *conn) continueReading() {
-	if c.pendingEnd == endNone || c.closing {
-		return
+	if c.pendingEnd != endNone && !c.closing {
+		c.extendRead()
 	}
+}
+
+// extendRead gives the reader the time for a head again. An interrupt is over then. c.mu is locked.
+func (c *conn) extendRead() {
 	c.pendingEnd, c.deadlineSet = endNone, true
 	_ = c.nc.SetReadDeadline(time.Now().Add(c.srv.headerTimeout))
 }
 
+// awaitBytes waits until the buffer contains n bytes. Behind the deadline it reads what has arrived.
+func (c *conn) awaitBytes(n int) error {
+	_, err := c.br.Peek(n)
+	if err != nil && c.resumeRead(err) {
+		_, err = c.br.Peek(n)
+		// The time for the head is over.
+		c.setReadDeadline(aLongTimeAgo)
+	}
+	return err
+}
+
 // readFailed handles an error of a read that did not end a head. An error other than a timeout means that the caller
 // has closed the connection.
 func (c *conn) readFailed(err error) {
--- a/goldcreststand/internal/http1/lostrequest_test.go
+++ b/goldcreststand/internal/http1/lostrequest_test.go
@@ -104,6 +104,8 @@
 	net.Listener
 	t     *testing.T
 	conns chan *lateConn
+	// before stops the first read of the next connection.
+	before atomic.Pointer[barrier]
 }
 
 func (l *lateListener) Accept() (net.Conn, error) {
@@ -112,6 +114,7 @@
 		return nil, err
 	}
 	c := &lateConn{TCPConn: nc.(*net.TCPConn), acted: make(chan struct{}, 1), t: l.t}
+	c.before.Store(l.before.Swap(nil))
 	l.conns <- c
 	return c, nil
 }
@@ -431,3 +434,31 @@
 	require.Equal(t, []string{"/safe/1"}, c.bodies(1))
 	c.requireLast("/safe/2")
 }
+
+// Guards against a new connection that is closed because its first request has not arrived in time, although it has and the reader
+// had no processor time to read it.
+func TestHeaderTimeoutSparesARequestThatHasArrived(t *testing.T) {
+	const headerTimeout = 100 * time.Millisecond
+	t.Run("whole", func(t *testing.T) {
+		s := newLateServer(t, handler(echo), http1.WithHeaderTimeout(headerTimeout))
+		b := newBarrier()
+		s.ln.before.Store(b)
+		c, _ := s.dial()
+		receive(t, b.reached)
+		c.get("/unsafe/1")
+		time.Sleep(2 * headerTimeout)
+		close(b.release)
+		require.Equal(t, []string{"/unsafe/1"}, c.bodies(1))
+	})
+	t.Run("in parts", func(t *testing.T) {
+		s := newLateServer(t, handler(echo), http1.WithHeaderTimeout(headerTimeout))
+		c, nc := s.dial()
+		b := nc.stopAfterRead()
+		c.send("GET /unsafe/1 HTTP/1.1\nHo")
+		receive(t, b.reached)
+		c.send("st: a\n\n")
+		time.Sleep(2 * headerTimeout)
+		close(b.release)
+		require.Equal(t, []string{"/unsafe/1"}, c.bodies(1))
+	})
+}
--- a/goldcreststand/internal/http1/request.go
+++ b/goldcreststand/internal/http1/request.go
@@ -87,7 +87,7 @@
 			timed = true
 			c.setReadDeadline(time.Now().Add(c.srv.headerTimeout))
 		}
-		if _, err := c.br.Peek(len(b) + 1); err != nil {
+		if err := c.awaitBytes(len(b) + 1); err != nil {
 			return 0, err
 		}
 	}
