cmd: serve drains after SIGHUP

An instance of the own front end was ended by SIGHUP, as the end of its terminal sends it, and callers were cut off with their calls in flight: only SIGTERM and SIGINT were handled. It now drains as after these.

crowd.TestServeDrainsAfterHangup failed before (serve_test.go:46, "signal: hangup") and passes in 5 of 5 runs with -race.

--- a/goldcreststand/internal/cmd/servecmd.go
+++ b/goldcreststand/internal/cmd/servecmd.go
@@ -5,7 +5,9 @@
 	"expvar"
 	"flag"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/jonboulle/clockwork"
 
@@ -50,5 +52,8 @@
 	callers := new(expvar.Map).Init()
 	d.callers.Publish(callers)
 	expvar.Publish("callers", callers)
+	// The end of a terminal must not cut off the calls in flight.
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGHUP)
+	defer stop()
 	return d.run(ctx)
 }
