cmd: no calls are served unless all addresses are free

A process that could not listen on one of its addresses had already begun to serve callers at others, and cut them off when it ended. site and serve now open all addresses before they serve any, and report all that are not free.

TestInstanceServesNoCallsUnlessAllAddressesAreFree and TestNoCallsAreServedUnlessAllAddressesAreFree failed before (instance_test.go:66, the callers' address still accepted connections; listener_test.go:223, "calls were served"). In a run of the whole package TestKeysOfOrganisations failed once because a port of freeAddress was taken again by another process.

--- a/goldcreststand/internal/cmd/controllistener_test.go
+++ b/goldcreststand/internal/cmd/controllistener_test.go
@@ -33,7 +33,7 @@
 	l := newControlListener(budget.ClassReadiness, "", http.NotFoundHandler())
 	sock, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.srv.Close() })
+	t.Cleanup(func() { _ = sock.Close() })
 	go func() { _ = l.srv.Serve(gate.Listener(sock, l.class)) }()
 	held := func() int64 {
 		var u struct {
--- a/goldcreststand/internal/cmd/instance.go
+++ b/goldcreststand/internal/cmd/instance.go
@@ -189,28 +189,37 @@
 	return err
 }
 
-// listen opens all listeners. Errors of a running listener are sent to failed.
+// listen opens all addresses and then serves them. Errors of a running listener are sent to failed.
 func (inst *instance) listen(ctx context.Context, failed chan<- error) error {
-	open := func(address string, class budget.Class, serve func(net.Listener) error) error {
-		sock, err := net.Listen("tcp", address)
-		if err != nil {
-			return err
-		}
-		sock = inst.gate.Listener(sock, class)
+	type endpoint struct {
+		address string
+		class   budget.Class
+		serve   func(net.Listener) error
+	}
+	endpoints := []endpoint{{inst.settings.Listen.Traffic.String(), budget.ClassCalls, inst.server.Serve}}
+	for _, l := range inst.httpListeners {
+		endpoints = append(endpoints, endpoint{l.address, l.class, serveHTTP(l.srv)})
+	}
+	endpoints = append(endpoints, endpoint{
+		inst.settings.Self().Peer.String(), budget.ClassPeers, func(s net.Listener) error { return inst.peer.Run(ctx, s) },
+	})
+	addresses := make([]string, len(endpoints))
+	for n, e := range endpoints {
+		addresses[n] = e.address
+	}
+	socks, err := listenAll(addresses)
+	if err != nil {
+		return err
+	}
+	for n, e := range endpoints {
+		sock := inst.gate.Listener(socks[n], e.class)
 		go func() {
-			if err := serve(sock); err != nil {
+			if err := e.serve(sock); err != nil {
 				failed <- err
 			}
 		}()
-		return nil
-	}
-	group := errs.Group{}
-	group.Add(open(inst.settings.Listen.Traffic.String(), budget.ClassCalls, inst.server.Serve))
-	for _, l := range inst.httpListeners {
-		group.Add(open(l.address, l.class, serveHTTP(l.srv)))
 	}
-	group.Add(open(inst.settings.Self().Peer.String(), budget.ClassPeers, func(s net.Listener) error { return inst.peer.Run(ctx, s) }))
-	return group.Err()
+	return nil
 }
 
 // openFiles returns the number of descriptors that this process may open.
--- a/goldcreststand/internal/cmd/instance_test.go
+++ b/goldcreststand/internal/cmd/instance_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -51,3 +53,15 @@
 	require.ErrorIs(t, err, errListenerFailed)
 	require.Zero(t, c.lost.Load())
 }
+
+// Guards against a start that fails when callers are already served, whose calls would be cut off.
+func TestInstanceServesNoCallsUnlessAllAddressesAreFree(t *testing.T) {
+	_, store := newTestStore(t)
+	s := newSite(t, store, new(transcript))
+	taken, err := net.Listen("tcp", s.inst.settings.Self().Peer.String())
+	require.NoError(t, err)
+	defer func() { _ = taken.Close() }()
+	require.ErrorIs(t, <-s.start(), syscall.EADDRINUSE)
+	_, err = net.Dial("tcp", s.inst.settings.Listen.Traffic.String())
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+}
--- a/goldcreststand/internal/cmd/listener.go
+++ b/goldcreststand/internal/cmd/listener.go
@@ -33,11 +33,10 @@
 // their next call within it, and its response says that the connection ends.
 const maxLinger = time.Second
 
-// httpServer serves HTTP on a listener until Shutdown or Close.
+// httpServer serves HTTP on a listener until Shutdown.
 type httpServer interface {
 	Serve(ln net.Listener) error
 	Shutdown(ctx context.Context) error
-	Close() error
 }
 
 var (
@@ -117,16 +116,19 @@
 	failed := make(chan error, len(ls))
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	for _, l := range ls {
-		sock, err := net.Listen("tcp", l.address)
-		if err != nil {
-			return errs.Combine(err, closeAll(ls))
-		}
-		log.Infof("%s listens on %s", l.name, sock.Addr())
-		go func() { failed <- l.srv.Serve(sock) }()
+	addresses := make([]string, len(ls))
+	for n, l := range ls {
+		addresses[n] = l.address
+	}
+	socks, err := listenAll(addresses)
+	if err != nil {
+		return err
+	}
+	for n, l := range ls {
+		log.Infof("%s listens on %s", l.name, socks[n].Addr())
+		go func() { failed <- l.srv.Serve(socks[n]) }()
 		go l.run(runCtx)
 	}
-	var err error
 	select {
 	case err = <-failed:
 		log.Infof("listener failed: %v", err)
@@ -152,10 +154,23 @@
 	return group.Err()
 }
 
-func closeAll(ls []*listener) error {
+// listenAll listens on all addresses, or on none: a process that cannot start must serve no calls before it ends.
+func listenAll(addresses []string) ([]net.Listener, error) {
 	var group errs.Group
-	for _, l := range ls {
-		group.Add(l.srv.Close())
+	socks := make([]net.Listener, 0, len(addresses))
+	for _, a := range addresses {
+		sock, err := net.Listen("tcp", a)
+		if err != nil {
+			group.Add(err)
+			continue
+		}
+		socks = append(socks, sock)
 	}
-	return group.Err()
+	if len(group) == 0 {
+		return socks, nil
+	}
+	for _, sock := range socks {
+		group.Add(sock.Close())
+	}
+	return nil, group.Err()
 }
--- a/goldcreststand/internal/cmd/listener_test.go
+++ b/goldcreststand/internal/cmd/listener_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -131,9 +132,6 @@
 // Shutdown does nothing.
 func (failingServer) Shutdown(context.Context) error { return nil }
 
-// Close does nothing.
-func (failingServer) Close() error { return nil }
-
 // Guards against the failure of one listener that cuts off the calls at the others.
 func TestFailedListenerEndsAfterShutdown(t *testing.T) {
 	h := unsafeHandler(func(w http.ResponseWriter, _ *http.Request) {
@@ -195,3 +193,33 @@
 		})
 	}
 }
+
+// recordingHTTPServer is an HTTP server that records that it has served.
+type recordingHTTPServer struct {
+	failingServer
+	served chan struct{}
+}
+
+// Serve records that it was called.
+func (s recordingHTTPServer) Serve(net.Listener) error {
+	close(s.served)
+	return nil
+}
+
+// Guards against a start that fails when callers are already served, whose calls would be cut off.
+func TestNoCallsAreServedUnlessAllAddressesAreFree(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = taken.Close() }()
+	srv := recordingHTTPServer{served: make(chan struct{})}
+	ls := []*listener{{name: "traffic", address: freeAddress(t), srv: srv}, {name: "admin", address: taken.Addr().String(), srv: srv}}
+	err = serveAll(t.Context(), ls, time.Second, clockwork.NewRealClock(), logrus.New())
+	require.ErrorIs(t, err, syscall.EADDRINUSE)
+	select {
+	case <-srv.served:
+		require.Fail(t, "calls were served")
+	case <-time.After(100 * time.Millisecond):
+	}
+	_, err = net.Dial("tcp", ls[0].address)
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+}
