cmd: tests listen below the ports of outgoing connections

TestKeysOfOrganisations failed once, "bind: address already in use", on a machine with 37,000 connections on loopback: the port that freeAddress had returned was given to an outgoing connection of another process. Ports are chosen below that range, as in crowd.

--- a/goldcreststand/internal/cmd/listener_test.go
+++ b/goldcreststand/internal/cmd/listener_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -20,12 +21,25 @@
 	"goldcreststand.example/core/rules"
 )
 
+// Ports of the tests' listeners. They are below those that Linux gives to outgoing connections, which could take a port before
+// the test listens on it.
+const (
+	firstPort = 12000
+	lastPort  = 31999
+)
+
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress(t *testing.T) string {
-	sock, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = sock.Close() }()
-	return sock.Addr().String()
+	const attempts = 100
+	for range attempts {
+		sock, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort+1)))
+		if err == nil {
+			require.NoError(t, sock.Close())
+			return sock.Addr().String()
+		}
+	}
+	require.Fail(t, "no port is free")
+	return ""
 }
 
 // Guards against a planned stop under load that cuts off calls which have just been accepted: a caller that sends calls
