cmd: planned stops of site answer lookups and readiness checks that were read

A lookup, a readiness check or a request for metrics that was read as an instance on the users' platform ended got no answer: these listeners were not shut down, and the process ended beside their handlers. Their responses now say from the start of the stop that the connection ends, and the process waits for the handlers, for half a second at most and within the time of the shutdown. net/http may still close an idle connection beside the read of a request there.

--- a/goldcreststand/internal/cmd/instance.go
+++ b/goldcreststand/internal/cmd/instance.go
@@ -36,6 +36,9 @@
 	// shutdown ends at the latest.
 	drainFraction    = 0.5
 	shutdownFraction = 0.9
+	// controlShutdownTimeout limits how long a leaving instance waits for requests other than calls. Their handlers wait for
+	// nothing, but net/http also waits for new connections on which nothing was asked.
+	controlShutdownTimeout = 500 * time.Millisecond
 	// maxListeners is the largest number of addresses that an instance listens on.
 	maxListeners = 5
 	// defaultOpenFiles is the number of descriptors of a process whose limit is not known; maxOpenFiles is one beyond which a
@@ -252,15 +255,34 @@
 	drain := time.Duration(drainFraction * float64(grace))
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	for _, l := range inst.httpListeners {
+		l.leaving.Store(true)
+	}
 	err := inst.withdraw(ctx, drain, hub.Shutdown{Until: start.Add(timeout)})
 	inst.clock.Sleep(drain - inst.clock.Since(start))
 	if err := inst.server.Shutdown(ctx); err != nil {
 		inst.log.StateChange("node: shutdown ended with calls in flight", logrus.Fields{"error": err.Error()})
 	}
 	inst.flushUsage()
+	inst.closeControl(ctx)
 	return err
 }
 
+// closeControl waits until readiness checks, lookups and requests for metrics that were read are answered.
+func (inst *instance) closeControl(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, controlShutdownTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, l := range inst.httpListeners {
+		wg.Go(func() {
+			if err := l.srv.Shutdown(ctx); err != nil {
+				inst.log.StateChange("node: shutdown ended with requests in flight", logrus.Fields{"listener": l.name, "error": err.Error()})
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // withdraw asks control to remove the instance from the list of members, at most for the time.
 func (inst *instance) withdraw(ctx context.Context, limit time.Duration, ev hub.Shutdown) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
--- a/goldcreststand/internal/cmd/instance_test.go
+++ b/goldcreststand/internal/cmd/instance_test.go
@@ -1,9 +1,13 @@
 package cmd
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -65,3 +69,35 @@
 	_, err = net.Dial("tcp", s.inst.settings.Listen.Traffic.String())
 	require.ErrorIs(t, err, syscall.ECONNREFUSED)
 }
+
+// Guards against a planned stop that cuts off a lookup, or a request for metrics, which was read.
+func TestLeaveAnswersRequestsAtControlListeners(t *testing.T) {
+	_, store := newTestStore(t)
+	s := newSite(t, store, new(transcript))
+	s.inst.settings.Bounds.Grace = 2
+	started, release := make(chan struct{}), make(chan struct{})
+	address := freeAddress(t)
+	h := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(started)
+		<-release
+	})
+	s.inst.httpListeners = append(s.inst.httpListeners, newControlListener(budget.ClassLookups, address, h))
+	ended := s.start()
+	c := dialLater(t, address)
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-started
+	s.stop()
+	require.Eventually(t, func() bool {
+		nc, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = nc.Close()
+		}
+		return errors.Is(err, syscall.ECONNREFUSED) || len(ended) > 0
+	}, patience, time.Millisecond)
+	require.Empty(t, ended, "the process ended before the response")
+	close(release)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.NoError(t, <-ended)
+}
--- a/goldcreststand/internal/cmd/listener_test.go
+++ b/goldcreststand/internal/cmd/listener_test.go
@@ -91,12 +91,7 @@
 	const callers = 64
 	c := new(keptCallers)
 	for range callers {
-		var nc net.Conn
-		require.Eventually(t, func() (ok bool) {
-			var err error
-			nc, err = net.Dial("tcp", address)
-			return err == nil
-		}, 5*time.Second, time.Millisecond)
+		nc := dialLater(t, address)
 		c.conns = append(c.conns, nc)
 		c.wg.Go(func() { c.call(nc) })
 	}
@@ -105,6 +100,18 @@
 	return c
 }
 
+// dialLater connects to a server that may not listen yet.
+func dialLater(t *testing.T, address string) net.Conn {
+	var nc net.Conn
+	require.Eventually(t, func() (ok bool) {
+		var err error
+		nc, err = net.Dial("tcp", address)
+		return err == nil
+	}, 5*time.Second, time.Millisecond)
+	t.Cleanup(func() { _ = nc.Close() })
+	return nc
+}
+
 func (c *keptCallers) call(nc net.Conn) {
 	defer func() { _ = nc.Close() }()
 	br := bufio.NewReader(nc)
