--- a/goldcreststand/internal/cmd/instance.go
+++ b/goldcreststand/internal/cmd/instance.go
@@ -31,17 +31,6 @@
 )
 
 const (
-	// drainFraction is the fraction of the time between SIGTERM and SIGKILL for which a leaving instance
-	// still accepts calls of callers that keep its address. cancelFraction is the fraction at which the calls that are left are
-	// canceled. It lies in the last sixth, in which operators count no call as lost at which a server is still at work.
-	// answerFraction is the fraction in which the responses to these must be written. A stop that begins later than the signal by
-	// spareFraction still ends in time. maxLateFraction limits by how much a later one is shortened.
-	drainFraction  = 0.5
-	cancelFraction = 0.85
-	answerFraction = 0.05
-
-	spareFraction   = 0.05
-	maxLateFraction = 0.25
 	// maxListeners is the largest number of addresses that an instance listens on.
 	maxListeners = 5
 	// defaultOpenFiles is the number of descriptors of a process whose limit is not known; maxOpenFiles is one beyond which a
@@ -162,7 +151,7 @@
 	}
 }
 
-// run serves until the context ends, then leaves.
+// run serves until the context ends or a listener fails, then leaves.
 func (inst *instance) run(ctx context.Context, file string) error {
 	inst.log.StateChange("node: started", logrus.Fields{
 		"domain": inst.settings.Domain, "version": Version, "traffic": inst.settings.Listen.Traffic.String(),
@@ -184,6 +173,8 @@
 	var err error
 	select {
 	case err = <-failed:
+		inst.log.StateChange("node: listener failed", logrus.Fields{"error": err.Error()})
+		err = errs.Combine(err, inst.leave())
 	case <-ctx.Done():
 		err = inst.leave()
 	}
@@ -193,28 +184,37 @@
 	return err
 }
 
-// listen opens all listeners. Errors of a running listener are sent to failed.
+// listen opens all addresses and then serves them. Errors of a running listener are sent to failed.
 func (inst *instance) listen(ctx context.Context, failed chan<- error) error {
-	open := func(address string, class budget.Class, serve func(net.Listener) error) error {
-		sock, err := net.Listen("tcp", address)
-		if err != nil {
-			return err
-		}
-		sock = inst.gate.Listener(sock, class)
+	type endpoint struct {
+		address string
+		class   budget.Class
+		serve   func(net.Listener) error
+	}
+	endpoints := []endpoint{{inst.settings.Listen.Traffic.String(), budget.ClassCalls, inst.server.Serve}}
+	for _, l := range inst.httpListeners {
+		endpoints = append(endpoints, endpoint{l.address, l.class, serveHTTP(l.srv)})
+	}
+	endpoints = append(endpoints, endpoint{
+		inst.settings.Self().Peer.String(), budget.ClassPeers, func(s net.Listener) error { return inst.peer.Run(ctx, s) },
+	})
+	addresses := make([]string, len(endpoints))
+	for n, e := range endpoints {
+		addresses[n] = e.address
+	}
+	socks, err := listenAll(addresses)
+	if err != nil {
+		return err
+	}
+	for n, e := range endpoints {
+		sock := inst.gate.Listener(socks[n], e.class)
 		go func() {
-			if err := serve(sock); err != nil {
+			if err := e.serve(sock); err != nil {
 				failed <- err
 			}
 		}()
-		return nil
 	}
-	group := errs.Group{}
-	group.Add(open(inst.settings.Listen.Traffic.String(), budget.ClassCalls, inst.server.Serve))
-	for _, l := range inst.httpListeners {
-		group.Add(open(l.address, l.class, serveHTTP(l.srv)))
-	}
-	group.Add(open(inst.settings.Self().Peer.String(), budget.ClassPeers, func(s net.Listener) error { return inst.peer.Run(ctx, s) }))
-	return group.Err()
+	return nil
 }
 
 // openFiles returns the number of descriptors that this process may open.
@@ -236,41 +236,6 @@
 	}
 }
 
-// leave withdraws the instance, keeps serving callers that still use its address for part of the grace
-// period, and waits for accepted calls to finish.
-func (inst *instance) leave() error {
-	grace := site.Seconds(inst.settings.Bounds.Grace)
-	late := lateStart(inst.loop.Standstill(), grace)
-	inst.log.StateChange("node: leaving", logrus.Fields{"grace": grace.Milliseconds(), "late": late.Milliseconds()})
-	start := inst.clock.Now().Add(-late)
-	timeout := time.Duration(cancelFraction * float64(grace))
-	ctx, cancel := context.WithTimeout(context.Background(), timeout-late)
-	defer cancel()
-	if err := inst.loop.Post(ctx, hub.Shutdown{Until: start.Add(timeout)}); err != nil {
-		return err
-	}
-	inst.clock.Sleep(time.Duration(drainFraction*float64(grace)) - inst.clock.Since(start))
-	if err := inst.server.Shutdown(ctx); err != nil {
-		inst.log.StateChange("node: canceling the calls in flight", logrus.Fields{"error": err.Error()})
-		// The time counts from now: a process that is late needs it even more.
-		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(answerFraction*float64(grace)))
-		defer cancel()
-		if err := inst.server.CancelCalls(ctx); err != nil {
-			inst.log.StateChange("node: shutdown ended with calls in flight", logrus.Fields{"error": err.Error()})
-		}
-	}
-	inst.flushUsage()
-	return nil
-}
-
-// lateStart returns the time by which a stop must be shortened to end in time if the process may have stood still before it. The grace
-// time counts from the signal, which has come at any time meanwhile. A stop is not shortened by more than that needs, because a call that
-// is canceled before the last sixth of the grace time counts as lost.
-func lateStart(standstill, grace time.Duration) time.Duration {
-	part := func(fraction float64) time.Duration { return time.Duration(fraction * float64(grace)) }
-	return min(max(0, standstill-part(spareFraction)), part(maxLateFraction))
-}
-
 // reload validates the settings file again on SIGHUP. Changed settings take effect at the next start; none of
 // them changes while the process runs.
 func (inst *instance) reload(ctx context.Context, file string) {
--- a/goldcreststand/internal/cmd/listener.go
+++ b/goldcreststand/internal/cmd/listener.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -27,15 +26,17 @@
 	controlIdleTimeout = time.Minute
 )
 
+// operatorStallTimeout is the time for which an operator may take none of a response. The links of operators may be slow.
+const operatorStallTimeout = time.Minute
+
 // maxLinger limits the time for which a process that leaves still takes calls. Callers that keep a connection open send
 // their next call within it, and its response says that the connection ends.
 const maxLinger = time.Second
 
-// httpServer serves HTTP on a listener until Shutdown or Close.
+// httpServer serves HTTP on a listener until Shutdown.
 type httpServer interface {
 	Serve(ln net.Listener) error
 	Shutdown(ctx context.Context) error
-	Close() error
 }
 
 var (
@@ -53,10 +54,14 @@
 	leaving atomic.Bool
 }
 
-// newListener returns a listener that has not started.
-func newListener(name, address string, h http.Handler) *listener {
+// newListener returns a listener that has not started. Calls are served concurrently if h tells that they are safe.
+func newListener(name, address string, h http.Handler, clock clockwork.Clock, opts ...http1.Option) *listener {
 	l := &listener{name: name, address: address}
-	l.srv = &http.Server{Handler: l.announceEnd(h), ReadHeaderTimeout: readHeaderTimeout}
+	served := l.announceEnd(h)
+	if k, ok := h.(http1.Kinds); ok {
+		served = leavingHandler{Handler: served, Kinds: k}
+	}
+	l.srv = http1.New(served, clock, append(opts, http1.WithHeaderTimeout(readHeaderTimeout))...)
 	return l
 }
 
@@ -74,19 +79,6 @@
 	return l
 }
 
-// newCallerListener returns a listener for callers, whose calls are read ahead. It has not started.
-func newCallerListener(name, address string, h callHandler, clock clockwork.Clock, opts ...http1.Option) *listener {
-	l := &listener{name: name, address: address}
-	l.srv = http1.New(leavingHandler{Handler: l.announceEnd(h), Kinds: h}, clock, append(opts, http1.WithHeaderTimeout(readHeaderTimeout))...)
-	return l
-}
-
-// callHandler is a handler that tells the kinds of calls.
-type callHandler interface {
-	http.Handler
-	http1.Kinds
-}
-
 // leavingHandler is a handler that announces the end, with the kinds of the handler that it calls.
 type leavingHandler struct {
 	http.Handler
@@ -119,32 +111,35 @@
 	Infof(format string, args ...any)
 }
 
-// serveAll serves until the context ends or a listener fails. At the end of the context it waits for calls in
-// flight, at most for the drain time.
+// serveAll serves until the context ends or a listener fails. It then waits for calls in flight, at most for the drain
+// time.
 func serveAll(ctx context.Context, ls []*listener, drain time.Duration, clock clockwork.Clock, log infoLog) error {
 	failed := make(chan error, len(ls))
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	for _, l := range ls {
-		sock, err := net.Listen("tcp", l.address)
-		if err != nil {
-			return errs.Combine(err, closeAll(ls))
-		}
-		log.Infof("%s listens on %s", l.name, sock.Addr())
-		go func() { failed <- l.srv.Serve(sock) }()
+	addresses := make([]string, len(ls))
+	for n, l := range ls {
+		addresses[n] = l.address
+	}
+	socks, err := listenAll(addresses)
+	if err != nil {
+		return err
+	}
+	for n, l := range ls {
+		log.Infof("%s listens on %s", l.name, socks[n].Addr())
+		go func() { failed <- l.srv.Serve(socks[n]) }()
 		go l.run(runCtx)
 	}
 	select {
-	case err := <-failed:
-		return errs.Combine(err, closeAll(ls))
+	case err = <-failed:
+		log.Infof("listener failed: %v", err)
 	case <-ctx.Done():
 	}
 	log.Infof("draining calls in flight")
-	return shutdown(ls, drain, clock)
+	return errs.Combine(err, shutdown(ls, drain, clock))
 }
 
-// shutdown ends the listeners. net/http closes connections on which a request has arrived and was not read yet, so that
-// callers are first told that their connections end, and what has arrived is read.
+// shutdown ends the listeners. Callers are first told that their connections end, so that fewer requests cross a close.
 func shutdown(ls []*listener, drain time.Duration, clock clockwork.Clock) error {
 	ctx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
@@ -155,19 +150,28 @@
 	boot.WaitForTimers(ctx, clock)
 	var group errs.Group
 	for _, l := range ls {
-		err := l.srv.Shutdown(ctx)
-		if errors.Is(err, http.ErrServerClosed) {
-			err = nil
-		}
-		group.Add(err)
+		group.Add(l.srv.Shutdown(ctx))
 	}
 	return group.Err()
 }
 
-func closeAll(ls []*listener) error {
+// listenAll listens on all addresses, or on none: a process that cannot start must serve no calls before it ends.
+func listenAll(addresses []string) ([]net.Listener, error) {
 	var group errs.Group
-	for _, l := range ls {
-		group.Add(l.srv.Close())
+	socks := make([]net.Listener, 0, len(addresses))
+	for _, a := range addresses {
+		sock, err := net.Listen("tcp", a)
+		if err != nil {
+			group.Add(err)
+			continue
+		}
+		socks = append(socks, sock)
 	}
-	return group.Err()
+	if len(group) == 0 {
+		return socks, nil
+	}
+	for _, sock := range socks {
+		group.Add(sock.Close())
+	}
+	return nil, group.Err()
 }
