http1: a panic of a reader ends its connection only

A panic while a request was read, such as one in the lookup of its route for its kind, ended the process with the calls of all connections; net/http's server, which http1 replaced, ends only the connection. No request is known that makes the reader panic.

TestPanicOfReaderEndsItsConnection failed before: the panic ended the test program (pipeline_test.go:390). It passes in 10 of 10 runs with -race.

--- a/goldcreststand/internal/http1/conn.go
+++ b/goldcreststand/internal/http1/conn.go
@@ -18,6 +18,7 @@
 	"goldcreststand.example/core/budget"
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/pipe"
+	"goldcreststand.example/lib/guard"
 )
 
 const (
@@ -114,11 +115,19 @@
 	return c
 }
 
-// serve reads requests until the connection ends.
+// serve reads requests until the connection ends. A panic ends the connection only.
 func (c *conn) serve() {
 	c.base = getReader(c.nc)
 	c.br = c.base
 	defer c.end()
+	if err := guard.Call(c.read); err != nil {
+		c.srv.log.Failure("reading a request failed", logrus.Fields{"caller": c.remote, "error": err.Error()})
+		c.abandon(endAborted)
+	}
+}
+
+// read reads requests until no further one may be read, and waits for the end of the connection.
+func (c *conn) read() {
 	// A caller that connects and sends nothing is treated like one that sends a part of a head.
 	c.setReadDeadline(time.Now().Add(c.srv.headerTimeout))
 	for c.awaitRoom() && c.awaitByte() {
--- a/goldcreststand/internal/http1/pipeline_test.go
+++ b/goldcreststand/internal/http1/pipeline_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"goldcreststand.example/core/pipe"
+	"goldcreststand.example/core/rules"
 	"goldcreststand.example/goldcreststand/internal/http1"
 )
 
@@ -380,3 +381,30 @@
 	b.get("/safe/1")
 	require.Equal(t, []string{"/safe/1"}, b.bodies(1))
 }
+
+// failingKinds is a handler that panics when it is asked for the kind of a request for /fault.
+type failingKinds struct{ handler }
+
+func (h failingKinds) Kind(r *http.Request) rules.Kind {
+	if r.URL.Path == "/fault" {
+		panic("fault")
+	}
+	return h.handler.Kind(r)
+}
+
+// Guards against a request that ends the process, and with it the calls of all connections, because reading it panics.
+func TestPanicOfReaderEndsItsConnection(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	_, address := newServer(t, failingKinds{func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-release
+		echo(w, r)
+	}})
+	a, b := dial(t, address), dial(t, address)
+	b.get("/unsafe/1")
+	receive(t, started)
+	a.get("/fault")
+	a.requireEnd()
+	close(release)
+	require.Equal(t, []string{"/unsafe/1"}, b.bodies(1))
+}
