http1: one state of a connection's reader

Three booleans told what the reader does, and their names did not say that at most one of them is set. One could stay set behind a read for the first byte that failed; the connection is closing then, and nobody looks at it any more.

The states exclude each other: with panics in pause, watch and awaitByte on any other state, the tests of http1 (3 times) and those of edge about pipelining, stops and bodies passed with -race (trial).

--- a/goldcreststand/internal/http1/call.go
+++ b/goldcreststand/internal/http1/call.go
@@ -47,7 +47,7 @@
 func (c *conn) add(x *call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
+	c.reader = readerRunning
 	if c.closing || c.sealed {
 		c.srv.metrics.Dropped.Add(1)
 		c.unanswered++
--- a/goldcreststand/internal/http1/conn.go
+++ b/goldcreststand/internal/http1/conn.go
@@ -40,6 +40,20 @@
 // aLongTimeAgo is a deadline that ends a pending read.
 var aLongTimeAgo = time.Unix(1, 0)
 
+// readerState is what the reader of a connection is doing.
+type readerState int
+
+const (
+	// readerRunning means that the reader is in none of the other states.
+	readerRunning readerState = iota
+	// readerPaused means that it waits on wake.
+	readerPaused
+	// readerAwaiting means that it waits for the first byte of a request. It can be interrupted then.
+	readerAwaiting
+	// readerReading means that it reads a request that has begun to arrive.
+	readerReading
+)
+
 // conn is a connection of a caller. The goroutine of serve reads the requests, and each call has its own, which writes
 // the response when it is the first in the line.
 type conn struct {
@@ -91,9 +105,7 @@
 	unreadable bool
 	// linger is set if unread bytes may follow the last response.
 	linger bool
-	// waiting is set while the reader waits on wake, awaiting while it waits for the first byte of a request, and reading while it
-	// reads a request that has begun to arrive.
-	waiting, awaiting, reading bool
+	reader readerState
 	// deadlineSet is set if reads have a deadline.
 	deadlineSet bool
 	readerDone  bool
@@ -160,7 +172,7 @@
 // pause waits until the reader is woken. With check it finds out whether the caller has closed the connection. It unlocks
 // c.mu.
 func (c *conn) pause(check bool) {
-	c.waiting = true
+	c.reader = readerPaused
 	c.mu.Unlock()
 	if c.closeCheck == nil {
 		c.closeCheck = time.NewTimer(closeCheckInterval)
@@ -176,13 +188,13 @@
 		}
 	}
 	c.mu.Lock()
-	c.waiting = false
+	c.reader = readerRunning
 	c.mu.Unlock()
 }
 
-// wakeReader wakes the reader if it waits. c.mu is locked.
+// wakeReader wakes the reader if it is paused. c.mu is locked.
 func (c *conn) wakeReader() {
-	if !c.waiting {
+	if c.reader != readerPaused {
 		return
 	}
 	select {
@@ -197,7 +209,7 @@
 		c.shrink()
 	}
 	c.mu.Lock()
-	c.awaiting = true
+	c.reader = readerAwaiting
 	c.mu.Unlock()
 	_, err := c.br.Peek(1)
 	for c.resumeRead(err) {
@@ -209,7 +221,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.awaiting, c.reading = false, true
+	c.reader = readerReading
 	c.continueReading()
 	return !c.closing
 }
@@ -331,8 +343,8 @@
 func (c *conn) recordEnd(discarded int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	buffered := c.br.Buffered()
-	if c.unanswered == 0 && !c.reading && buffered == 0 && discarded == 0 {
+	reading, buffered := c.reader == readerReading, c.br.Buffered()
+	if c.unanswered == 0 && !reading && buffered == 0 && discarded == 0 {
 		return
 	}
 	c.srv.metrics.Unanswered.Add(c.cause.String(), 1)
@@ -341,7 +353,7 @@
 		return
 	}
 	f := logrus.Fields{
-		"caller": c.remote, "cause": c.cause.String(), "calls": c.unanswered, "reading": c.reading, "buffered": buffered,
+		"caller": c.remote, "cause": c.cause.String(), "calls": c.unanswered, "reading": reading, "buffered": buffered,
 		"discarded": discarded, "announced": c.sealed || c.cause == endResponse,
 	}
 	if !c.oldest.IsZero() {
@@ -415,7 +427,7 @@
 // interruptReader lets the reader end the connection unless a request has arrived. No other goroutine can decide that: the
 // reader may have received a request that nobody else knows of yet. c.mu is locked.
 func (c *conn) interruptReader(cause endCause) {
-	if c.closing || !c.awaiting || len(c.calls) > 0 {
+	if c.closing || c.reader != readerAwaiting || len(c.calls) > 0 {
 		return
 	}
 	c.pendingEnd = cause
