http1: no lock after a read that succeeded

awaitByte called resumeRead, which asks whether a failed read may be repeated, once for each request also without an error, and resumeRead locked the connection to find out that there was none.

--- a/goldcreststand/internal/http1/conn.go
+++ b/goldcreststand/internal/http1/conn.go
@@ -212,7 +212,7 @@
 	c.reader = readerAwaiting
 	c.mu.Unlock()
 	_, err := c.br.Peek(1)
-	for c.resumeRead(err) {
+	for err != nil && c.resumeRead(err) {
 		_, err = c.br.Peek(1)
 	}
 	if err != nil {
