http1: mark the reader as awaiting where the lock is held

awaitByte locked the connection for each request only to note that the reader waits for its first byte. awaitRoom, which holds the lock just before, notes it now. An interrupt that comes between the two is handled as one during the read, as before.

--- a/goldcreststand/internal/http1/conn.go
+++ b/goldcreststand/internal/http1/conn.go
@@ -145,7 +145,7 @@
 	c.watch()
 }
 
-// awaitRoom waits until the next request may be read. It returns false if none may be read any more.
+// awaitRoom waits until the next request may be read, and lets the reader await it. It returns false if none may be read any more.
 func (c *conn) awaitRoom() bool {
 	for {
 		c.mu.Lock()
@@ -154,6 +154,7 @@
 			c.mu.Unlock()
 			return false
 		case len(c.calls) == 0, c.line.MayRead(int(c.srv.ahead.Load())) && (!c.ending || c.hasHead()) && c.account.MayReadAhead():
+			c.reader = readerAwaiting
 			c.mu.Unlock()
 			return true
 		}
@@ -208,9 +209,6 @@
 	if c.br.Buffered() == 0 {
 		c.shrink()
 	}
-	c.mu.Lock()
-	c.reader = readerAwaiting
-	c.mu.Unlock()
 	_, err := c.br.Peek(1)
 	for err != nil && c.resumeRead(err) {
 		_, err = c.br.Peek(1)
