intake: name an interrupt of a reader as http1 does

The gate and http1 end an idle connection in the same way, by a deadline that lets the reader decide, under two sets of names.

They stay two mechanisms. The gate also serves connections of net/http's servers, which have no reader of http1; http1 runs without a gate, keeps the cause and asks the operating system for bytes before it gives up. http1 holds its lock when it calls the gate, so that a call in the other direction would have to drop the gate's lock between the choice of a connection and the interrupt.

--- a/goldcreststand/internal/intake/conn.go
+++ b/goldcreststand/internal/intake/conn.go
@@ -30,9 +30,9 @@
 	writers int
 	// reading is set from the begin of a read until what it has received is counted.
 	reading bool
-	// evicted is set while the reader is asked to close the connection unless bytes arrive.
-	evicted bool
-	// readDeadline is the deadline that the reader has set.
+	// interrupted is set while the reader is to close the connection unless bytes arrive.
+	interrupted bool
+	// readDeadline is the deadline that the reader has set, and that applies unless it is interrupted.
 	readDeadline time.Time
 }
 
@@ -55,12 +55,12 @@
 	return n, err
 }
 
-// SetReadDeadline sets the deadline of reads. It takes effect once the reader is no longer asked to close the connection.
+// SetReadDeadline sets the deadline of reads. It takes effect once the reader is not interrupted any more.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	c.readDeadline = t
-	if c.evicted {
+	if c.interrupted {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -74,15 +74,10 @@
 	return c.SetWriteDeadline(t)
 }
 
-// evict asks the reader to close the connection unless bytes arrive, and reports whether it was not asked before. The caller
-// holds the gate's lock.
-func (c *Conn) evict() bool {
-	if c.evicted {
-		return false
-	}
-	c.evicted = true
+// interruptReader lets the reader close the connection unless bytes arrive. The caller holds the gate's lock.
+func (c *Conn) interruptReader() {
+	c.interrupted = true
 	_ = c.Conn.SetReadDeadline(aLongTimeAgo)
-	return true
 }
 
 // maxWrite limits the bytes of a write, after which the other side has made progress.
@@ -116,12 +111,12 @@
 	c.reading = true
 }
 
-// endRead notes that a read has received nothing, and reports whether the reader was asked to close the connection.
+// endRead notes that a read has received nothing, and reports whether the reader was interrupted.
 func (g *Gate) endRead(c *Conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.reading = false
-	return c.evicted
+	return c.interrupted
 }
 
 // received counts received bytes and reports whether there is room for them.
@@ -129,8 +124,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.reading = false
-	if c.evicted {
-		c.evicted = false
+	if c.interrupted {
+		c.interrupted = false
 		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	}
 	if c.requests == 0 && c.writers == 0 {
--- a/goldcreststand/internal/intake/gate.go
+++ b/goldcreststand/internal/intake/gate.go
@@ -110,8 +110,8 @@
 }
 
 // withdraw returns the connection for the caller to close. It returns nil if the connection has ended or made progress since it
-// was chosen, and if its reader waits for the next request: only that one knows whether it has just received one, and is asked
-// to close the connection.
+// was chosen, and if its reader waits for the next request: only the reader knows whether it has just received one, and it is
+// interrupted.
 func (g *Gate) withdraw(v budget.Victim) *Conn {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -120,11 +120,12 @@
 	}
 	c := g.conns[v.ID]
 	byReader := v.Phase == budget.PhaseIdle && c.reading
-	if byReader && !c.evict() {
+	if byReader && c.interrupted {
 		return nil
 	}
 	g.note(measure{action: actionClose, class: v.Class, cause: v.Cause.String()}, c, v)
 	if byReader {
+		c.interruptReader()
 		return nil
 	}
 	return c
