--- a/goldcreststand/internal/http1/call.go
+++ b/goldcreststand/internal/http1/call.go
@@ -211,16 +211,3 @@
 	c.startCalls()
 	c.wakeReader()
 }
-
-// reset makes the end of the connection look broken.
-func (c *conn) reset() {
-	c.discardUnsent()
-	c.abandon(endAborted)
-}
-
-// discardUnsent lets the close of the connection be a reset.
-func (c *conn) discardUnsent() {
-	if tc, ok := c.nc.(interface{ SetLinger(sec int) error }); ok {
-		_ = tc.SetLinger(0)
-	}
-}
--- a/goldcreststand/internal/http1/server.go
+++ b/goldcreststand/internal/http1/server.go
@@ -36,6 +36,11 @@
 	// minAcceptDelay and maxAcceptDelay limit the wait after a failure to accept, such as too many open files.
 	minAcceptDelay = 5 * time.Millisecond
 	maxAcceptDelay = time.Second
+	// maxSettleTime and settleFraction, a fraction of the time for the shutdown, limit how long Shutdown keeps a connection open
+	// after it was accepted or last answered. A request may be on its way, and closing then resets the connection, which can
+	// discard a response that the caller has not read.
+	maxSettleTime  = time.Second
+	settleFraction = 0.25
 )
 
 // Kinds tells the kind of a call from its request. A handler without this method serves only unsafe calls.
