--- a/goldcreststand/internal/http1/lostrequest_test.go
+++ b/goldcreststand/internal/http1/lostrequest_test.go
@@ -431,3 +431,36 @@
 	require.Equal(t, []string{"/safe/1"}, c.bodies(1))
 	c.requireLast("/safe/2")
 }
+
+// Guards against an idle timeout or a planned stop that interrupts the read of a request of which a part has arrived.
+func TestRequestThatArrivesInPartsIsAnswered(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		end  func(s *lateServer)
+		last bool
+	}{
+		{name: "idle timeout", end: func(s *lateServer) { s.scan(2 * idleTimeout) }},
+		{name: "stop", last: true, end: func(s *lateServer) {
+			s.clock.Advance(time.Second)
+			s.shutdown()
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newLateServer(t, handler(echo), withIdleTimeout())
+			c, nc := s.dial()
+			c.get("/unsafe/1")
+			c.bodies(1)
+			s.account.requireEmpty(t)
+			nc.forgetActions()
+			c.send("GET /unsafe/2 HTTP/1.1\n")
+			// The reader sets the deadline of the head once it reads it.
+			nc.requireAction()
+			tt.end(s)
+			nc.awaitAction()
+			c.send("Host: a\n\n")
+			resp, b := c.next()
+			require.Equal(t, "/unsafe/2", b)
+			require.Equal(t, tt.last, resp.Close)
+		})
+	}
+}
