--- a/goldcreststand/internal/http1/lostrequest_test.go
+++ b/goldcreststand/internal/http1/lostrequest_test.go
@@ -279,8 +279,15 @@
 // Guards against a planned stop that ends a connection behind a response which did not say so, although the next request
 // has arrived.
 func TestShutdownAnswersARequestBehindAResponseThatKeepsTheConnection(t *testing.T) {
-	for name, readAhead := range map[string]bool{"being read": true, "not read yet": false} {
-		t.Run(name, func(t *testing.T) {
+	for _, tt := range []struct {
+		name                  string
+		readAhead, sentBefore bool
+	}{
+		{name: "being read", readAhead: true, sentBefore: true},
+		{name: "not read yet"},
+		{name: "awaited", readAhead: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
 			release := make(chan struct{})
 			s := newLateServer(t, handler(func(w http.ResponseWriter, r *http.Request) {
 				w.Header().Set("Content-Type", "text/plain")
@@ -291,7 +298,7 @@
 					<-release
 				}
 			}))
-			s.account.noAhead.Store(!readAhead)
+			s.account.noAhead.Store(!tt.readAhead)
 			idle, _ := s.dial()
 			idle.get("/unsafe/0")
 			idle.bodies(1)
@@ -300,7 +307,7 @@
 			resp, _ := c.next()
 			require.False(t, resp.Close)
 			var b *barrier
-			if readAhead {
+			if tt.sentBefore {
 				b = nc.stopAfterRead()
 				c.get("/unsafe/2")
 				receive(t, b.reached)
@@ -308,12 +315,12 @@
 			done := s.shutdown()
 			s.requireIdleEnd(idle)
 			// By now the server has decided that the connections end after the calls that were read.
-			if !readAhead {
+			if !tt.sentBefore {
 				c.get("/unsafe/2")
 			}
 			nc.forgetActions()
 			close(release)
-			if readAhead {
+			if tt.sentBefore {
 				nc.awaitAction()
 				close(b.release)
 			}
--- a/goldcreststand/internal/http1/unanswered_test.go
+++ b/goldcreststand/internal/http1/unanswered_test.go
@@ -95,3 +95,15 @@
 	c.requireEnd()
 	require.Empty(t, l.ends)
 }
+
+// Guards against a connection that counts as ended within a request although it ended behind the response to its last one.
+func TestEndThatTheCallerAskedForIsNotLogged(t *testing.T) {
+	l, m := new(endLog), new(http1.Metrics)
+	s, address := newServer(t, handler(echo), http1.WithLog(l), http1.WithMetrics(m))
+	c := dial(t, address)
+	c.send("GET /safe/1 HTTP/1.1\nHost: a\nConnection: close\n\n")
+	c.requireLast("/safe/1")
+	require.NoError(t, s.Shutdown(t.Context()))
+	require.Empty(t, l.ends)
+	require.Equal(t, "{}", m.Unanswered.String())
+}
