--- a/goldcreststand/internal/intake/relief_test.go
+++ b/goldcreststand/internal/intake/relief_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -83,3 +84,44 @@
 	// A pipe takes no deadline once a side is closed.
 	require.NoError(t, caller.SetReadDeadline(time.Now()), "the connection was closed with a request that was read")
 }
+
+// Guards against a connection that was spared and whose later reads fail, or end it, since the interrupt is not over.
+func TestReadsGoOnBehindASparedRequest(t *testing.T) {
+	f := newFixture(t)
+	conn, caller := f.accept()
+	f.accept()
+	slow := &slowRead{Conn: conn.Conn, taken: make(chan struct{}), release: make(chan struct{})}
+	conn.Conn = slow
+	read := make(chan error, 1)
+	go func() { read <- f.receive(conn, caller, "GET / HTTP/1.1\r\n") }()
+	<-slow.taken
+	f.advance(time.Second / 2)
+	close(slow.release)
+	require.NoError(t, <-read)
+	conn.Conn = slow.Conn
+	require.NoError(t, f.receive(conn, caller, "Host: a\r\n\r\n"))
+	require.NoError(t, conn.SetReadDeadline(time.Now()))
+	defer time.AfterFunc(5*time.Second, func() { _ = caller.Close() }).Stop()
+	_, err := conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
+// Guards against an idle connection that stays open under pressure because its reader takes the interrupt for a timeout.
+func TestReliefClosesAnIdleConnectionByItsReader(t *testing.T) {
+	f := newFixture(t)
+	conn, _ := f.accept()
+	f.accept()
+	read := make(chan error, 1)
+	go func() {
+		_, err := conn.Read(make([]byte, 1))
+		read <- err
+	}()
+	require.Eventually(t, func() bool {
+		f.gate.mu.Lock()
+		defer f.gate.mu.Unlock()
+		return conn.reading
+	}, 5*time.Second, time.Millisecond)
+	f.advance(time.Second / 2)
+	require.ErrorIs(t, <-read, net.ErrClosed)
+	require.NotContains(t, f.gate.conns, conn.id)
+}
