cmd: serve does not wait for its log

Callers of the own front end got no answer, and a planned stop did not begin, once the reader of the log had stopped reading: lines were written to standard error by the goroutines of calls and connections, which waited for a full pipe. serve now queues lines as site does, and drops and counts them when the queue is full.

--- a/goldcreststand/internal/cmd/servecmd.go
+++ b/goldcreststand/internal/cmd/servecmd.go
@@ -38,14 +38,17 @@
 	if err != nil {
 		return err
 	}
-	log, err := logs.New(cfg.Err, string(s.Log.Level), s.Log.Format == config.LogFormatJson)
+	clock := clockwork.NewRealClock()
+	lines, endLog := startLog(cfg.Err, clock)
+	defer endLog()
+	log, err := logs.New(lines, string(s.Log.Level), s.Log.Format == config.LogFormatJson)
 	if err != nil {
 		return err
 	}
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	d := newDaemon(s, clockwork.NewRealClock(), log)
+	d := newDaemon(s, clock, log)
 	// expvar names are global to the process, so they are published here rather than in newDaemon, which
 	// tests call too.
 	expvar.Publish("calls", d.metrics)
--- a/goldcreststand/internal/cmd/sitecmd.go
+++ b/goldcreststand/internal/cmd/sitecmd.go
@@ -59,17 +59,13 @@
 	}
 	debug.SetMemoryLimit(memoryLimit(s.Machine.MemoryMB))
 	clock := clockwork.NewRealClock()
-	lines := logs.NewAsyncWriter(cfg.Out, clock)
+	lines, endLog := startLog(cfg.Out, clock)
+	defer endLog()
 	log, err := logs.New(lines, "info", true)
 	if err != nil {
 		return err
 	}
 	inst := newInstance(s, clock, logs.NewRateLimitedLogger(log.WithField("instance", s.Instance), lines, clock), edge.WithBytePrice(cross.BytePrice(bytePrice)))
 	expvar.Publish("goldcreststand", inst.vars)
-	writerCtx, stop := context.WithCancel(context.Background())
-	go lines.Run(writerCtx)
-	err = inst.run(ctx, file)
-	stop()
-	<-lines.Done()
-	return err
+	return inst.run(ctx, file)
 }
