cmd: a stop without usage reports answers calls for a tenth of its time

Callers saw: requests that were read and cut off at the end of a stop of an overloaded instance, though it could have had more time.

Cause: after its calls were canceled, a stop had 0.05 of the grace time for the responses, and kept as much again for the last counts of usage, which only some deployments report.

Why it works: the time that nothing else needs is used for the responses. It remains a bound: a process that gets no processor time until the end cannot answer.

--- a/goldcreststand/internal/cmd/instance.go
+++ b/goldcreststand/internal/cmd/instance.go
@@ -34,14 +34,16 @@
 	// drainFraction is the fraction of the time between SIGTERM and SIGKILL for which a leaving instance
 	// still accepts calls of callers that keep its address. cancelFraction is the fraction at which the calls that are left are
 	// canceled. It lies in the last sixth, in which operators count no call as lost at which a server is still at work.
-	// answerFraction is the fraction in which the responses to these must be written. A stop that begins later than the signal by
-	// spareFraction still ends in time. maxLateFraction limits by how much a later one is shortened.
+	// answerFraction is the fraction in which the responses to these must be written, less the time for the last counts of usage, but
+	// minAnswerFraction at least. A stop that begins later than the signal by spareFraction still has that. maxLateFraction limits by
+	// how much a later one is shortened.
 	drainFraction  = 0.5
 	cancelFraction = 0.85
-	answerFraction = 0.05
+	answerFraction = 0.1
 
-	spareFraction   = 0.05
-	maxLateFraction = 0.25
+	minAnswerFraction = 0.05
+	spareFraction     = 0.05
+	maxLateFraction   = 0.25
 	// maxListeners is the largest number of addresses that an instance listens on.
 	maxListeners = 5
 	// defaultOpenFiles is the number of descriptors of a process whose limit is not known; maxOpenFiles is one beyond which a
@@ -253,7 +255,7 @@
 	if err := inst.server.Shutdown(ctx); err != nil {
 		inst.log.StateChange("node: canceling the calls in flight", logrus.Fields{"error": err.Error()})
 		// The time counts from now: a process that is late needs it even more.
-		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(answerFraction*float64(grace)))
+		ctx, cancel := context.WithTimeout(context.Background(), inst.answerTime(grace))
 		defer cancel()
 		if err := inst.server.CancelCalls(ctx); err != nil {
 			inst.log.StateChange("node: shutdown ended with calls in flight", logrus.Fields{"error": err.Error()})
@@ -263,6 +265,15 @@
 	return nil
 }
 
+// answerTime returns the time in which the responses to canceled calls must be written.
+func (inst *instance) answerTime(grace time.Duration) time.Duration {
+	out := time.Duration(answerFraction * float64(grace))
+	if inst.meter == nil {
+		return out
+	}
+	return max(out-flushTimeout, time.Duration(minAnswerFraction*float64(grace)))
+}
+
 // lateStart returns the time by which a stop must be shortened to end in time if the process may have stood still before it. The grace
 // time counts from the signal, which has come at any time meanwhile. A stop is not shortened by more than that needs, because a call that
 // is canceled before the last sixth of the grace time counts as lost.
--- a/goldcreststand/internal/cmd/latestart_test.go
+++ b/goldcreststand/internal/cmd/stoptimes_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"goldcreststand.example/goldcreststand/internal/duty"
 )
 
 // Guards against a stop that is killed before its end because the process stood still when the signal came, one that cancels calls
@@ -20,3 +22,12 @@
 		require.Equal(t, tt.want, lateStart(tt.standstill, 10*time.Second), "%v", tt.standstill)
 	}
 }
+
+// Guards against a stop that leaves no time for the last counts of usage, or none for the responses to canceled calls.
+func TestAnswerTime(t *testing.T) {
+	without, with := new(instance), &instance{meter: new(duty.Meter)}
+	require.Equal(t, 600*time.Millisecond, without.answerTime(6*time.Second))
+	require.Equal(t, 300*time.Millisecond, with.answerTime(6*time.Second))
+	require.Equal(t, 700*time.Millisecond, with.answerTime(10*time.Second))
+	require.Equal(t, 100*time.Millisecond, with.answerTime(2*time.Second))
+}
