--- a/goldcreststand/internal/crowd/work_test.go
+++ b/goldcreststand/internal/crowd/work_test.go
@@ -145,7 +145,7 @@
 // their grace time.
 func TestRequestsCrossingPlannedWorkOfLateProcesses(t *testing.T) {
 	crossPlannedWork(t, func(p *process, rng *rand.Rand) func() {
-		release := p.throttle(time.Duration(20+rng.IntN(30))*time.Millisecond, time.Duration(20+rng.IntN(60))*time.Millisecond)
+		release := p.throttle(time.Duration(10+rng.IntN(30))*time.Millisecond, time.Duration(20+rng.IntN(80))*time.Millisecond)
 		if rng.IntN(2) == 0 {
 			at := time.Duration(rng.IntN(2))*time.Duration(crossingGrace*800)*time.Millisecond + time.Duration(rng.IntN(100))*time.Millisecond
 			length := time.Duration(50+rng.IntN(200)) * time.Millisecond
