--- a/goldcreststand/internal/cmd/leave.go
+++ b/goldcreststand/internal/cmd/leave.go
@@ -18,12 +18,10 @@
 	// cancelFraction is the end of the shutdown, at which the calls that are left are canceled. It lies in the last sixth, in which
 	// operators count no call as lost at which a server is still at work.
 	cancelFraction = 0.85
-	// answerFraction is the part in which the responses to canceled calls, and to requests other than calls, must be written.
-	answerFraction = 0.05
-	// spareFraction is the part by which a stop may begin later than the signal and still end in time. maxLateFraction limits by how
-	// much a later one is shortened.
-	spareFraction   = 0.05
-	maxLateFraction = 0.25
+	// answerFraction is the part in which the responses to canceled calls must be written, less the time for the last counts of usage,
+	// but minAnswerFraction at least. Control listeners have as much. What is left is spare for a signal that is noticed late.
+	answerFraction    = 0.1
+	minAnswerFraction = 0.05
 )
 
 // maxControlShutdown limits how long a leaving instance waits for requests other than calls. Their handlers wait for nothing, but
@@ -39,31 +37,35 @@
 // calls to finish. They do not depend on control, which may not take the event in time: the error is returned after the shutdown.
 func (inst *instance) leave() error {
 	grace := site.Seconds(inst.settings.Bounds.Grace)
-	late := lateStart(inst.loop.Standstill(), grace)
-	inst.log.StateChange("node: leaving", logrus.Fields{"grace": grace.Milliseconds(), "late": late.Milliseconds()})
-	start := inst.clock.Now().Add(-late)
+	inst.log.StateChange("node: leaving", logrus.Fields{"grace": grace.Milliseconds()})
+	start := inst.clock.Now()
 	drain, timeout := fractionOf(grace, drainFraction), fractionOf(grace, cancelFraction)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout-late)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for _, l := range inst.httpListeners {
 		l.leaving.Store(true)
 	}
-	err := inst.withdraw(ctx, drain-late, hub.Shutdown{Until: start.Add(timeout)})
+	err := inst.withdraw(ctx, drain, hub.Shutdown{Until: start.Add(timeout)})
 	inst.clock.Sleep(drain - inst.clock.Since(start))
-	if err := inst.server.Shutdown(ctx); err != nil {
-		inst.log.StateChange("node: canceling the calls in flight", logrus.Fields{"error": err.Error()})
-		inst.cancelCalls(fractionOf(grace, answerFraction))
+	shutdownErr := inst.server.Shutdown(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { inst.closeControl(min(maxControlShutdown, fractionOf(grace, answerFraction))) })
+	if shutdownErr != nil {
+		inst.log.StateChange("node: canceling the calls in flight", logrus.Fields{"error": shutdownErr.Error()})
+		inst.cancelCalls(inst.answerTime(grace))
 	}
 	inst.flushUsage()
-	inst.closeControl(min(maxControlShutdown, fractionOf(grace, answerFraction)))
+	wg.Wait()
 	return err
 }
 
-// lateStart returns the time by which a stop must be shortened to end in time if the process may have stood still before it. The grace
-// time counts from the signal, which has come at any time meanwhile. A stop is not shortened by more than that needs, because a call that
-// is canceled before the last sixth of the grace time counts as lost.
-func lateStart(standstill, grace time.Duration) time.Duration {
-	return min(max(0, standstill-fractionOf(grace, spareFraction)), fractionOf(grace, maxLateFraction))
+// answerTime returns the time in which the responses to canceled calls must be written.
+func (inst *instance) answerTime(grace time.Duration) time.Duration {
+	out := fractionOf(grace, answerFraction)
+	if inst.meter == nil {
+		return out
+	}
+	return max(out-flushTimeout, fractionOf(grace, minAnswerFraction))
 }
 
 // withdraw asks control to remove the instance from the list of members, at most for the time.
