budget: garbage is collected before heads are refused beside long bodies

Readiness checks, lookups and requests for metrics were refused without an answer while bodies of calls held half of the memory or more. Heads of these addresses are refused when garbage and what callers hold fill the memory, but a collection was due only from garbage of half of the memory. Beside bodies of nine tenths of it, which are allowed, a few hundred ordinary requests filled the rest, and nothing freed it until the heap had grown to its goal.

A collection is now due when garbage fills half of what callers leave, and no earlier than half of what is left beside the largest bodies. TestGarbageIsCollectedBeforeHeadsAreRefused failed before, beside bodies of 50 % and more.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -158,7 +158,10 @@
 func (b *Budget) Garbage() ident.Bytes { return b.garbage }
 
 // CollectionDue reports whether the garbage collector should run although the heap has not grown to its goal.
-func (b *Budget) CollectionDue() bool { return b.garbage*100 >= b.limits.Memory*collectPercent }
+func (b *Budget) CollectionDue() bool {
+	room := max(b.limits.Memory-b.callers, b.limits.Memory*(100-refusePercent)/100)
+	return b.garbage*100 >= room*collectPercent
+}
 
 // Return gives back n units of an item, at most what the connection holds of it.
 func (b *Budget) Return(id ConnID, item Item, n int64) {
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -211,3 +211,21 @@
 	_, ok = b.MayAccept(budget.ClassCalls)
 	require.True(t, ok)
 }
+
+// Guards against readiness checks, lookups and requests for metrics that are refused beside long bodies, because the garbage of earlier
+// ones takes what is left of the memory and no collection is due.
+func TestGarbageIsCollectedBeforeHeadsAreRefused(t *testing.T) {
+	for _, percent := range []int64{0, 50, 70, 85, 90} {
+		b := budget.New(testLimits())
+		require.True(t, b.Take(b.Open(start, budget.ClassCalls), budget.ItemBody, percent<<20/100-20<<10))
+		id := b.Open(start, budget.ClassReadiness)
+		for n := range 2000 {
+			require.True(t, b.Take(id, budget.ItemHead, 300), "check %d beside bodies of %d %%", n, percent)
+			require.True(t, b.Take(id, budget.ItemField, 5))
+			b.Discard(id)
+			if b.CollectionDue() {
+				b.Collected(b.NextBatch())
+			}
+		}
+	}
+}
--- a/core/budget/level.go
+++ b/core/budget/level.go
@@ -27,8 +27,9 @@
 	refusePercent = 90
 )
 
-// collectPercent is the part of the memory, in per cent, from which garbage is collected at once. Heads are refused when garbage and
-// what is held fill the memory.
+// collectPercent is the part of the memory that callers do not hold, in per cent, from which garbage is collected at once. Heads are
+// refused when garbage and what is held fill the memory. That part counts as no less than what is left beside the largest bodies, so
+// that collections do not follow each other.
 const collectPercent = 50
 
 // longBody is the size from which the bytes of a body do not keep the instance from accepting connections: a single legal
