intake: serve requests that arrived before an idle connection is closed

Under pressure, an idle connection was closed by its interrupted reader although a whole request had arrived that the reader had not taken from the operating system, as in a process that is short of processor time. A read whose deadline has passed does not try the socket, so that the look of http1 for bytes that have arrived was never reached.

The reader now looks for such bytes before it closes the connection, as http1 does at the idle timeout and in a stop. The checks of sockets move to a package that both use.

--- a/goldcreststand/internal/http1/reader.go
+++ b/goldcreststand/internal/http1/reader.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"goldcreststand.example/core/budget"
+	"goldcreststand.example/goldcreststand/internal/sock"
 	"goldcreststand.example/lib/guard"
 )
 
@@ -97,7 +98,7 @@
 	select {
 	case <-c.wake:
 	case <-c.closeCheck.C:
-		if check && peerClosed(c.nc) {
+		if check && sock.PeerClosed(c.nc) {
 			c.abandon(endCallerClosed)
 		}
 	}
@@ -142,7 +143,7 @@
 func (c *conn) resumeRead(err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || !errors.Is(err, os.ErrDeadlineExceeded) || !readable(c.nc) {
+	if c.closing || !errors.Is(err, os.ErrDeadlineExceeded) || !sock.Readable(c.nc) {
 		return false
 	}
 	c.extendRead()
--- a/goldcreststand/internal/intake/conn.go
+++ b/goldcreststand/internal/intake/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"goldcreststand.example/core/budget"
+	"goldcreststand.example/goldcreststand/internal/sock"
 )
 
 // Conn is a connection that counts what it makes the instance hold.
@@ -44,6 +45,9 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	c.gate.beginRead(c)
 	n, err := c.Conn.Read(p)
+	for n == 0 && c.gate.resumeRead(c) {
+		n, err = c.Conn.Read(p)
+	}
 	switch {
 	case n > 0 && !c.gate.received(c, p[:n]):
 		_ = c.Close()
@@ -80,6 +84,12 @@
 	_ = c.Conn.SetReadDeadline(aLongTimeAgo)
 }
 
+// endInterrupt lets the deadline of the reader apply again. The caller holds the gate's lock.
+func (c *Conn) endInterrupt() {
+	c.interrupted = false
+	_ = c.Conn.SetReadDeadline(c.readDeadline)
+}
+
 // maxWrite limits the bytes of a write, after which the other side has made progress.
 const maxWrite = 16 << 10
 
@@ -111,6 +121,18 @@
 	c.reading = true
 }
 
+// resumeRead reports whether a read that was interrupted may be repeated: bytes have arrived, which a process that is short of processor
+// time may not have read yet.
+func (g *Gate) resumeRead(c *Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !c.interrupted || !sock.Readable(c.Conn) {
+		return false
+	}
+	c.endInterrupt()
+	return true
+}
+
 // endRead notes that a read has received nothing, and reports whether the reader was interrupted.
 func (g *Gate) endRead(c *Conn) bool {
 	g.mu.Lock()
@@ -125,8 +147,7 @@
 	defer g.mu.Unlock()
 	c.reading = false
 	if c.interrupted {
-		c.interrupted = false
-		_ = c.Conn.SetReadDeadline(c.readDeadline)
+		c.endInterrupt()
 	}
 	if c.requests == 0 && c.writers == 0 {
 		g.budget.Enter(g.now, c.id, budget.PhaseReceiving)
--- a/goldcreststand/internal/intake/relief_test.go
+++ b/goldcreststand/internal/intake/relief_test.go
@@ -1,13 +1,17 @@
 package intake
 
 import (
+	"io"
 	"net"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"goldcreststand.example/core/budget"
+	"goldcreststand.example/goldcreststand/internal/sock"
 )
 
 // slowClose is a connection whose close takes until the test lets it end.
@@ -83,3 +87,53 @@
 	// A pipe takes no deadline once a side is closed.
 	require.NoError(t, caller.SetReadDeadline(time.Now()), "the connection was closed with a request that was read")
 }
+
+// lateRead is a connection whose reader is stopped just before it reads.
+type lateRead struct {
+	net.Conn
+	begun, release chan struct{}
+	once           sync.Once
+}
+
+func (c *lateRead) Read(p []byte) (int, error) {
+	c.once.Do(func() {
+		close(c.begun)
+		<-c.release
+	})
+	return c.Conn.Read(p)
+}
+
+// SyscallConn returns the connection of the operating system.
+func (c *lateRead) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
+
+// Guards against a search under pressure that closes an idle connection on which a whole request has arrived that its reader, which
+// is late, has not taken from the operating system.
+func TestReliefSparesAConnectionWhoseRequestHasArrived(t *testing.T) {
+	f := newFixture(t)
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ln := f.gate.Listener(socket, budget.ClassCalls)
+	defer func() { _ = ln.Close() }()
+	caller, err := net.Dial("tcp", socket.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	nc, err := ln.Accept()
+	require.NoError(t, err)
+	c := nc.(*Conn)
+	f.accept()
+	late := &lateRead{Conn: c.Conn, begun: make(chan struct{}), release: make(chan struct{})}
+	c.Conn = late
+	read := make(chan error, 1)
+	b := make([]byte, 16)
+	go func() {
+		_, err := io.ReadFull(c, b)
+		read <- err
+	}()
+	<-late.begun
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return sock.Readable(late) }, 5*time.Second, time.Millisecond)
+	f.advance(time.Second / 2)
+	close(late.release)
+	require.NoError(t, <-read)
+}
--- a/goldcreststand/internal/http1/poll_linux.go
+++ b/goldcreststand/internal/sock/sock_linux.go
@@ -1,4 +1,5 @@
-package http1
+// Package sock asks the operating system for the state of connections.
+package sock
 
 import (
 	"net"
@@ -7,14 +8,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// peerClosed reports whether the peer has closed its side of the connection, also behind bytes that were not read yet.
-func peerClosed(nc net.Conn) bool {
+// PeerClosed reports whether the peer has closed its side of the connection, also behind bytes that were not read yet.
+func PeerClosed(nc net.Conn) bool {
 	closed, err := poll(nc, unix.POLLRDHUP)
 	return closed || err != nil
 }
 
-// readable reports whether a read of the connection would not wait.
-func readable(nc net.Conn) bool {
+// Readable reports whether a read of the connection would not wait.
+func Readable(nc net.Conn) bool {
 	ok, err := poll(nc, unix.POLLIN)
 	return ok && err == nil
 }
