http1: a stop serves connections that were accepted just before it

Callers saw: a connection closed at the start of a planned stop, with its first request on the way or in the socket.

Cause: Serve closed a connection whose Accept had returned when the server was stopping by the time it was to be started, and Shutdown did not wait for it.

Why it works: a connection that was accepted is served, and its first response says that it ends. Shutdown waits until no call of Serve can add another. Close still closes all.

--- a/goldcreststand/internal/http1/lostrequest_test.go
+++ b/goldcreststand/internal/http1/lostrequest_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -402,6 +403,45 @@
 	require.NoError(t, receive(t, done))
 }
 
+// heldListener is a listener whose first connection is returned late, as in a process that is short of processor time.
+type heldListener struct {
+	net.Listener
+	accepted, release chan struct{}
+	once              sync.Once
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	l.once.Do(func() {
+		close(l.accepted)
+		<-l.release
+	})
+	return nc, err
+}
+
+// Guards against a planned stop that closes a connection, or ends without it, because it was accepted and is not served yet.
+func TestShutdownAnswersOnAConnectionThatIsNotServedYet(t *testing.T) {
+	sock, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ln := &heldListener{Listener: sock, accepted: make(chan struct{}), release: make(chan struct{})}
+	s := http1.New(handler(echo), clockwork.NewRealClock())
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ln) }()
+	c := dial(t, sock.Addr().String())
+	c.get("/unsafe/1")
+	receive(t, ln.accepted)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(ctx) }()
+	time.Sleep(50 * time.Millisecond)
+	require.Empty(t, done)
+	close(ln.release)
+	c.requireLast("/unsafe/1")
+	require.NoError(t, receive(t, done))
+	require.NoError(t, receive(t, served))
+}
+
 // Guards against a planned stop that interrupts the rest of a body, behind which the next request follows.
 func TestShutdownLeavesTheRestOfABody(t *testing.T) {
 	s := newLateServer(t, handler(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) }))
--- a/goldcreststand/internal/http1/server.go
+++ b/goldcreststand/internal/http1/server.go
@@ -84,8 +84,11 @@
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
+	// accepting is the number of calls of Serve, each of which may have accepted a connection that is not in conns yet.
+	accepting int
 	conns     map[*conn]struct{}
-	stopping  bool
+	// stopping is set by Shutdown and Close, and closed by Close.
+	stopping, closed bool
 }
 
 // Option changes a server.
@@ -138,6 +141,7 @@
 	if !s.addListener(ln) {
 		return nil
 	}
+	defer s.endServe()
 	delay := minAcceptDelay
 	for {
 		nc, err := ln.Accept()
@@ -167,24 +171,33 @@
 		return false
 	}
 	s.listeners[ln] = struct{}{}
+	s.accepting++
 	return true
 }
 
+// endServe notes that a call of Serve accepts no more connections.
+func (s *Server) endServe() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepting--
+}
+
 func (s *Server) isStopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.stopping
 }
 
-// start serves a connection in its own goroutine.
+// start serves a connection in its own goroutine, also if it was accepted just before a Shutdown: its request may be on its way.
 func (s *Server) start(nc net.Conn) {
 	c := newConn(s, nc)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopping {
+	if s.closed {
 		_ = nc.Close()
 		return
 	}
+	c.ending = s.stopping
 	s.conns[c] = struct{}{}
 	s.metrics.Conns.Add(1)
 	s.metrics.Accepted.Add(1)
@@ -230,6 +243,7 @@
 	}
 }
 
+// snapshot returns the connections.
 func (s *Server) snapshot() []*conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -271,16 +285,22 @@
 	})
 }
 
-// awaitConns calls step with the connections from time to time until there are none or the context ends.
+// hasEnded reports whether there are no connections and none can follow.
+func (s *Server) hasEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) == 0 && s.accepting == 0
+}
+
+// awaitConns calls step with the connections from time to time until all have ended or the context ends.
 func (s *Server) awaitConns(ctx context.Context, step func([]*conn)) error {
 	ticker := time.NewTicker(shutdownInterval)
 	defer ticker.Stop()
 	for {
-		conns := s.snapshot()
-		if len(conns) == 0 {
+		if s.hasEnded() {
 			return nil
 		}
-		step(conns)
+		step(s.snapshot())
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -291,6 +311,9 @@
 
 // Close closes the listeners and all connections.
 func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	s.stop()
 	for _, c := range s.snapshot() {
 		c.abandon(endServerClosed)
