budget: ordinary heads find room beside garbage

Callers saw: readiness checks without an answer beside a crowd at the address for lookups. Two in a row take a machine out.

Cause: garbage is shared by the addresses for readiness, lookups and metrics, and each head found no room while it filled the memory.

TestHeadsFindNoRoomBesideGarbage failed before for an ordinary head.

Why it works: a head of up to the cost of its connection is only refused for what is held. The number of connections bounds the garbage of such heads as it bounds that of connections.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -103,7 +103,7 @@
 		return false
 	}
 	cost, used := item.Cost(n), *b.pool(c.class)
-	if c.class.single() {
+	if c.class.single() && c.total+cost > smallHead {
 		used += b.garbage
 	}
 	if cost > 0 && used+cost > b.limit(c.class, item) {
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -26,8 +26,8 @@
 // at returns the time some seconds after the start.
 func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 
-// Guards against heads that find room again and again while the garbage of earlier ones still takes the memory, and against calls
-// that are refused because of it.
+// Guards against heads that find room again and again while the garbage of earlier ones still takes the memory, and against calls and
+// ordinary readiness checks that are refused because of it.
 func TestHeadsFindNoRoomBesideGarbage(t *testing.T) {
 	for _, class := range []budget.Class{budget.ClassReadiness, budget.ClassLookups, budget.ClassMetrics} {
 		b := budget.New(testLimits())
@@ -43,6 +43,9 @@
 
 		require.False(t, b.Take(kept, budget.ItemHead, 300<<10))
 		require.True(t, b.Take(b.Open(start, budget.ClassCalls), budget.ItemHead, 300<<10))
+		ordinary := b.Open(start, class)
+		require.True(t, b.Take(ordinary, budget.ItemHead, 1000))
+		require.True(t, b.Take(ordinary, budget.ItemField, 20))
 		n := b.NextBatch()
 		require.Equal(t, b.Garbage(), n)
 		require.Zero(t, b.NextBatch())
--- a/core/budget/level.go
+++ b/core/budget/level.go
@@ -32,6 +32,10 @@
 // that collections do not follow each other.
 const collectPercent = 50
 
+// smallHead is the cost up to which heads are not refused because of garbage, which is as much as that of a connection: a crowd with
+// large heads at one address must not keep the instance from answering readiness checks.
+const smallHead = connCost
+
 // longBody is the size from which the bytes of a body do not keep the instance from accepting connections: a single legal
 // body may take most of the memory of a small machine, and nobody else could call meanwhile.
 const longBody ident.Bytes = 64 << 10
