http1, intake, budget: one piece of code for what stood twice

The deadline that ends a pending read was declared in http1 and again in intake; sock, which both use, has it now. Budget.Close and Budget.Discard each summed up the head that becomes garbage; discard does. Two tests of intake shared the set-up of a reader that stands still with a request. Behaviour and assertions are as they were.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -85,7 +85,7 @@
 		return
 	}
 	if c.class.single() {
-		b.discard(c.held[ItemHead] + c.held[ItemField])
+		b.discard(c)
 	}
 	for _, item := range ItemValues() {
 		b.add(c, item, -c.held[item])
@@ -134,12 +134,14 @@
 	if !ok {
 		return
 	}
-	b.discard(c.held[ItemHead] + c.held[ItemField])
+	b.discard(c)
 	b.Release(id, ItemHead)
 	b.Release(id, ItemField)
 }
 
-func (b *Budget) discard(n ident.Bytes) {
+// discard counts the head that a connection holds as garbage.
+func (b *Budget) discard(c *connection) {
+	n := c.held[ItemHead] + c.held[ItemField]
 	b.garbage += n
 	b.fresh += n
 }
--- a/goldcreststand/internal/http1/body.go
+++ b/goldcreststand/internal/http1/body.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"goldcreststand.example/goldcreststand/internal/sock"
 )
 
 const (
@@ -221,7 +223,7 @@
 		return
 	}
 	defer b.mu.Unlock()
-	if b.err != nil || b.c.setBodyDeadline(b, aLongTimeAgo) != nil {
+	if b.err != nil || b.c.setBodyDeadline(b, sock.Past) != nil {
 		return
 	}
 	b.skip()
--- a/goldcreststand/internal/http1/end.go
+++ b/goldcreststand/internal/http1/end.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"goldcreststand.example/goldcreststand/internal/sock"
 )
 
 const (
@@ -14,9 +16,6 @@
 	maxLinger     = 1 << 20
 )
 
-// aLongTimeAgo is a deadline that ends a pending read.
-var aLongTimeAgo = time.Unix(1, 0)
-
 // endAfterRead ends the connection after the calls that were read.
 func (c *conn) endAfterRead() {
 	c.mu.Lock()
@@ -59,7 +58,7 @@
 		return
 	}
 	c.pendingEnd = cause
-	_ = c.nc.SetReadDeadline(aLongTimeAgo)
+	_ = c.nc.SetReadDeadline(sock.Past)
 }
 
 // closeLocked lets the connection take no more calls, cancels those in the line and stops the reader. c.mu is locked.
@@ -80,7 +79,7 @@
 	c.cancel(cause.err())
 	c.wakeReader()
 	if c.linger {
-		_ = c.nc.SetReadDeadline(aLongTimeAgo)
+		_ = c.nc.SetReadDeadline(sock.Past)
 		return
 	}
 	_ = c.nc.Close()
--- a/goldcreststand/internal/http1/reader.go
+++ b/goldcreststand/internal/http1/reader.go
@@ -169,7 +169,7 @@
 	if err != nil && c.resumeRead(err) {
 		_, err = c.br.Peek(n)
 		// The time for the head is over.
-		c.setReadDeadline(aLongTimeAgo)
+		c.setReadDeadline(sock.Past)
 	}
 	return err
 }
--- a/goldcreststand/internal/intake/conn.go
+++ b/goldcreststand/internal/intake/conn.go
@@ -37,9 +37,6 @@
 	readDeadline time.Time
 }
 
-// aLongTimeAgo is a deadline that ends a pending read.
-var aLongTimeAgo = time.Unix(1, 0)
-
 // Read receives bytes. It closes the connection when there is no room for the head or the message that they belong to; nothing of
 // it was passed on.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -81,7 +78,7 @@
 // interruptReader lets the reader close the connection unless bytes arrive. The caller holds the gate's lock.
 func (c *Conn) interruptReader() {
 	c.interrupted = true
-	_ = c.Conn.SetReadDeadline(aLongTimeAgo)
+	_ = c.Conn.SetReadDeadline(sock.Past)
 }
 
 // endInterrupt lets the deadline of the reader apply again. The caller holds the gate's lock.
--- a/goldcreststand/internal/intake/relief_test.go
+++ b/goldcreststand/internal/intake/relief_test.go
@@ -72,19 +72,30 @@
 	return n, err
 }
 
+// beginRead lets the connection receive a text, and returns when its reader has taken the bytes. finish lets the reader go on and returns
+// its result.
+func (f *fixture) beginRead(c *Conn, from net.Conn, text string) (finish func() error) {
+	slow := &slowRead{Conn: c.Conn, taken: make(chan struct{}), release: make(chan struct{})}
+	c.Conn = slow
+	read := make(chan error, 1)
+	go func() { read <- f.receive(c, from, text) }()
+	<-slow.taken
+	return func() error {
+		close(slow.release)
+		err := <-read
+		c.Conn = slow.Conn
+		return err
+	}
+}
+
 // Guards against a search under pressure that closes a connection as idle while its reader has just taken a request.
 func TestReliefSparesAConnectionWhoseRequestIsBeingRead(t *testing.T) {
 	f := newFixture(t)
 	conn, caller := f.accept()
 	f.accept()
-	slow := &slowRead{Conn: conn.Conn, taken: make(chan struct{}), release: make(chan struct{})}
-	conn.Conn = slow
-	read := make(chan error, 1)
-	go func() { read <- f.receive(conn, caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n") }()
-	<-slow.taken
+	finish := f.beginRead(conn, caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	f.advance(time.Second / 2)
-	close(slow.release)
-	require.NoError(t, <-read)
+	require.NoError(t, finish())
 	// A pipe takes no deadline once a side is closed.
 	require.NoError(t, caller.SetReadDeadline(time.Now()), "the connection was closed with a request that was read")
 }
@@ -94,15 +105,9 @@
 	f := newFixture(t)
 	conn, caller := f.accept()
 	f.accept()
-	slow := &slowRead{Conn: conn.Conn, taken: make(chan struct{}), release: make(chan struct{})}
-	conn.Conn = slow
-	read := make(chan error, 1)
-	go func() { read <- f.receive(conn, caller, "GET / HTTP/1.1\r\n") }()
-	<-slow.taken
+	finish := f.beginRead(conn, caller, "GET / HTTP/1.1\r\n")
 	f.advance(time.Second / 2)
-	close(slow.release)
-	require.NoError(t, <-read)
-	conn.Conn = slow.Conn
+	require.NoError(t, finish())
 	require.NoError(t, f.receive(conn, caller, "Host: a\r\n\r\n"))
 	require.NoError(t, conn.SetReadDeadline(time.Now()))
 	defer time.AfterFunc(5*time.Second, func() { _ = caller.Close() }).Stop()
--- a/goldcreststand/internal/sock/sock_other.go
+++ b/goldcreststand/internal/sock/sock_other.go
@@ -1,6 +1,6 @@
 //go:build !linux
 
-// Package sock asks the operating system for the state of connections.
+// Package sock asks the operating system for the state of connections, and ends reads that are pending on them.
 package sock
 
 import "net"
