hub, retry: denied retries are logged with what the budget allowed

One line a second at most has the denied retries of a service, the calls and retries of the last window, the part of the extra ones, the members and the age of the process. SlidingWindow.Usage returns what it is written from; what the budget allows is unchanged.

--- a/core/retry/slidingwindow.go
+++ b/core/retry/slidingwindow.go
@@ -27,6 +27,17 @@
 	// current is the number of the current bucket, counted from start.
 	current int64
 	start   time.Time
+	denied  int64
+}
+
+// WindowUsage is what a SlidingWindow counts.
+type WindowUsage struct {
+	// Calls and Resends are those of the last window.
+	Calls, Resends int
+	// Extra is the number of resends that are allowed in addition to the share of the calls.
+	Extra float64
+	// Denied is the number of resends that were not allowed, since the start.
+	Denied int64
 }
 
 var _ Budget = (*SlidingWindow)(nil)
@@ -56,7 +67,25 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	i := w.advance(at)
-	calls, resends := 0, 0
+	calls, resends := w.sums(i)
+	if float64(resends+1) > float64(calls)*float64(w.share)/float64(ident.FullShare)+w.extra {
+		w.denied++
+		return false
+	}
+	w.resends[i]++
+	return true
+}
+
+// Usage returns what is counted at the time.
+func (w *SlidingWindow) Usage(at time.Time) WindowUsage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	calls, resends := w.sums(w.advance(at))
+	return WindowUsage{Calls: calls, Resends: resends, Extra: w.extra, Denied: w.denied}
+}
+
+// sums returns the calls and the resends of the window that ends in the bucket.
+func (w *SlidingWindow) sums(i int) (calls, resends int) {
 	for k := range w.calls {
 		resends += w.resends[k]
 		// The oldest bucket lies only partly in the window. Its calls are left out, so the bound is never too high.
@@ -64,11 +93,7 @@
 			calls += w.calls[k]
 		}
 	}
-	if float64(resends+1) > float64(calls)*float64(w.share)/float64(ident.FullShare)+w.extra {
-		return false
-	}
-	w.resends[i]++
-	return true
+	return calls, resends
 }
 
 // advance clears the buckets that have left the window and returns the index of the current one.
--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -126,8 +126,8 @@
 	// revision of each object.
 	listRevisions   map[Kind]ident.Revision
 	objectRevisions map[Kind]map[string]ident.Revision
-	// registeredAt, pingedAt, reportedAt and seedPolledAt are the times of the last such actions.
-	registeredAt, pingedAt, reportedAt, seedPolledAt time.Time
+	// registeredAt, pingedAt, reportedAt, seedPolledAt and deniedAt are the times of the last such actions.
+	registeredAt, pingedAt, reportedAt, seedPolledAt, deniedAt time.Time
 	// lastPinger is the address of the instance that last pinged this one.
 	lastPinger netip.AddrPort
 	// seedPolls counts the polls of seed peers, to cycle through them.
@@ -163,7 +163,9 @@
 	rollout      *canary.CoordinatedRollout
 	trialLimiter *spread.TrialLimiter
 	retryBudget  *retry.SlidingWindow
-	silence      spread.Silence
+	// deniedRetries is the number of retries that the budget had denied when that was last logged.
+	deniedRetries int64
+	silence       spread.Silence
 	// admittedFrom holds the versions that receive calls without a rollout order, with the time from which on they
 	// do.
 	admittedFrom map[ident.VersionName]time.Time
@@ -202,8 +204,6 @@
 // instances returns the number of instances that shared limits are divided by.
 func (st *state) instances() int { return max(1, len(st.members)) + unknownInstances }
 
-func (st *state) retryExtra() float64 { return st.self.Bounds.RetryExtra / float64(st.instances()) }
-
 // ready reports whether all kinds that request handling needs have been read.
 func (st *state) ready() bool {
 	if st.config != nil && st.config.Access != nil && !st.confirmed {
