retry, hub: parts of the extra retries hold over restarts and lost entries

Each process had the extra retries divided by the number of members that it saw at the moment, from its start on.

retry.ExtraShare divides by the largest number of instances of the last minute, and gives a process nothing in its first window. Whoever has a part in some span of the window's length was in the list before the span began, so the parts add up to the whole at most. An instance that lost its entry may still run, and callers know its address for some seconds, hence the minute.

--- a/goldcreststand/internal/hub/retrybudget.go
+++ b/goldcreststand/internal/hub/retrybudget.go
@@ -9,8 +9,13 @@
 // deniedInterval is the minimum time between two log lines about retries that were denied.
 const deniedInterval = time.Second
 
-// retryExtra returns the part of the extra retries that this instance may send.
-func (st *state) retryExtra() float64 { return st.self.Bounds.RetryExtra / float64(st.instances()) }
+// limitRetries sets this instance's part of the extra retries in the budgets of all services.
+func (st *state) limitRetries() {
+	extra := st.extraRetries.At(st.now)
+	for _, s := range st.services {
+		s.retryBudget.SetExtra(extra)
+	}
+}
 
 // logDeniedRetries logs the services whose retry budget has denied retries since the last line.
 func (st *state) logDeniedRetries() {
--- a/goldcreststand/internal/hub/snapshot.go
+++ b/goldcreststand/internal/hub/snapshot.go
@@ -45,7 +45,6 @@
 
 func (st *state) serviceSnapshot(n ident.ServiceName, r *rules.Service) *spread.Service {
 	s := st.service(n)
-	s.retryBudget.SetExtra(st.retryExtra())
 	out := &spread.Service{
 		Rules: r, LowestPriority: st.config.LowestPriority(n), TrialLimiter: s.trialLimiter, RetryBudget: s.retryBudget,
 	}
--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -111,6 +111,8 @@
 	services             map[ident.ServiceName]*service
 	evacuated            map[ident.DomainName]bool
 	members              []ring.Member
+	// extraRetries is this instance's part of the extra retries of a service.
+	extraRetries *retry.ExtraShare
 	// sendsToCold reports for each server whether this instance sends to it while it is cold.
 	sendsToCold map[ident.ServerID]bool
 	monitor     *ring.Monitor
@@ -184,6 +186,7 @@
 		loaded: make(map[Kind]bool), unavailableSince: make(map[Kind]time.Time), revisions: make(map[Kind]ident.Revision),
 		listRevisions: make(map[Kind]ident.Revision), objectRevisions: make(map[Kind]map[string]ident.Revision),
 		subscription: relay.NewSubscription(self.Member, now),
+		extraRetries: retry.NewExtraShare(self.Bounds.RetryExtra, self.Bounds.RetryWindow, now),
 	}
 }
 
@@ -193,7 +196,7 @@
 	if !ok {
 		s = &service{
 			rollout: canary.NewCoordinatedRollout(st.self.ID), trialLimiter: spread.NewTrialLimiter(canary.TrialShare, trialExtraCalls),
-			retryBudget:  retry.NewSlidingWindow(st.self.Bounds.RetryShare, st.retryExtra(), st.self.Bounds.RetryWindow, st.now),
+			retryBudget:  retry.NewSlidingWindow(st.self.Bounds.RetryShare, st.extraRetries.At(st.now), st.self.Bounds.RetryWindow, st.now),
 			admittedFrom: make(map[ident.VersionName]time.Time),
 		}
 		st.services[n] = s
