retry: calls before a span count a quarter in the retry budget

Buckets of half the length leave less of the budget unused.

TestWindowBoundsEverySpan checks the same spans with the new weights; a weighted mean of the calls in a span and before it is never above the larger of both, so the check is as strict for the sum.

--- a/core/retry/slidingwindow.go
+++ b/core/retry/slidingwindow.go
@@ -8,7 +8,12 @@
 )
 
 // windowBuckets is the number of buckets in a window.
-const windowBuckets = 10
+const windowBuckets = 20
+
+// earlierWeight is the weight of the calls of the window before a span, in the calls by which resends in the span are bounded.
+// The rest is that of the calls in the span. A larger weight allows more resends at once when servers begin to
+// reject calls, and fewer while calls increase and after a start.
+const earlierWeight = 0.25
 
 // keptBuckets is the number of buckets that are kept: those of the window, of the window before it, and one more because
 // a span of the window's length touches one bucket more than it is long.
@@ -18,10 +23,10 @@
 // common bound without messages: each one counts its own calls, and has an equal part of the extra resends. It is
 // safe for concurrent use.
 //
-// In any span, an instance sends at most the share of half of its calls in that span and in a window before it. What all
-// instances send is then at most the share of all calls in the span or in the window before it, whichever has more. A bound
-// by the last window's calls alone does not add up: each instance has most calls at a moment of its own, and the sum of
-// these maxima is larger than the maximum of the sum.
+// In any span, an instance sends at most the share of a weighted mean of its calls in that span and in the window before
+// it. What all instances send is then at most the share of all calls in the span or in the window before it, whichever has
+// more. A bound by the last window's calls alone does not add up: each instance has most calls at a moment of its own, and
+// the sum of these maxima is larger than the maximum of the sum.
 type SlidingWindow struct {
 	share ident.Share
 	// bucketLength is the time that one bucket covers.
@@ -84,29 +89,33 @@
 	return true
 }
 
-// allows reports whether one more resend now keeps the bound.
+// allows reports whether one more resend now keeps the bound of each span that ends now.
 func (w *SlidingWindow) allows() bool {
 	calls, resends := w.sums()
-	if !w.within(resends, calls) {
+	if !w.within(resends, float64(calls)) {
 		return false
 	}
-	calls, resends = 0, 0
+	// The calls of the bucket in which a span begins count as earlier ones, so that the bound is never too high.
+	resends = 0
+	earlier, during := 0, 0
 	for age := range int64(windowBuckets) {
-		calls += count(&w.calls, w.current-age)
+		earlier += count(&w.calls, w.current-age)
 	}
 	for age := range int64(windowBuckets + 1) {
 		resends += count(&w.resends, w.current-age)
-		if !w.within(resends, calls/2) {
+		if !w.within(resends, earlierWeight*float64(earlier)+(1-earlierWeight)*float64(during)) {
 			return false
 		}
-		calls += count(&w.calls, w.current-age-windowBuckets)
+		first := count(&w.calls, w.current-age)
+		during += first
+		earlier += count(&w.calls, w.current-age-windowBuckets) - first
 	}
 	return true
 }
 
 // within reports whether one more resend is allowed beside the resends and the calls.
-func (w *SlidingWindow) within(resends, calls int) bool {
-	return float64(resends+1) <= float64(calls)*float64(w.share)/float64(ident.FullShare)+w.extra
+func (w *SlidingWindow) within(resends int, calls float64) bool {
+	return float64(resends+1) <= calls*float64(w.share)/float64(ident.FullShare)+w.extra
 }
 
 // Usage returns what is counted at the time.
