hub, limit, recent: one sliding extreme for divided limits; connections too

limit.ShareTracker already had a sliding minimum for the slots of a server; core/recent holds it once, for both. retry.ExtraShare goes; that a process has no extra retries in its first window is the hub's now. What limit does is unchanged.

--- a/core/limit/sharetracker.go
+++ b/core/limit/sharetracker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/recent"
 )
 
 // Times that apply when shares change.
@@ -26,13 +27,13 @@
 type ShareTracker struct {
 	lastObserved time.Duration
 	started      bool
-	windows      map[ident.ServerID]*minWindow
+	windows      map[ident.ServerID]*recent.Extreme[ident.Slots]
 }
 
 // NewShareTracker returns a tracker without shares. A new instance waits for ShareIncreaseDelay because
 // its first view may lack instances that use the shares.
 func NewShareTracker() *ShareTracker {
-	return &ShareTracker{windows: make(map[ident.ServerID]*minWindow)}
+	return &ShareTracker{windows: make(map[ident.ServerID]*recent.Extreme[ident.Slots])}
 }
 
 // Observe records the shares that are assigned now. It must be called at least every MaxObserveGap;
@@ -43,15 +44,15 @@
 	}
 	t.started, t.lastObserved = true, now
 	for id, w := range t.windows {
-		w.observe(now, assigned[id])
-		if w.empty() {
+		w.Observe(now, assigned[id])
+		if w.Last() == 0 {
 			delete(t.windows, id)
 		}
 	}
 	for id, n := range assigned {
 		if _, ok := t.windows[id]; !ok && n > 0 {
-			w := newMinWindow()
-			w.observe(now, n)
+			w := recent.NewMin[ident.Slots](ShareIncreaseDelay, 0)
+			w.Observe(now, n)
 			t.windows[id] = w
 		}
 	}
@@ -63,35 +64,5 @@
 	if !ok {
 		return 0
 	}
-	return w.steps[0].slots
+	return w.Value()
 }
-
-// minWindow is the sliding minimum of the share assigned at one server. Steps are in order of time with
-// increasing slots; the last one is the share assigned now.
-type minWindow struct {
-	steps []step
-}
-
-// step is a share that was assigned until some time.
-type step struct {
-	slots ident.Slots
-	until time.Duration
-}
-
-func newMinWindow() *minWindow { return &minWindow{steps: []step{{}}} }
-
-func (w *minWindow) observe(now time.Duration, slots ident.Slots) {
-	if newest := &w.steps[len(w.steps)-1]; newest.slots != slots {
-		newest.until = now
-		for len(w.steps) > 0 && w.steps[len(w.steps)-1].slots >= slots {
-			w.steps = w.steps[:len(w.steps)-1]
-		}
-		w.steps = append(w.steps, step{slots: slots})
-	}
-	for len(w.steps) > 1 && w.steps[0].until+ShareIncreaseDelay <= now {
-		w.steps = w.steps[1:]
-	}
-}
-
-// empty reports whether the window holds no share, neither the current one nor an earlier one.
-func (w *minWindow) empty() bool { return len(w.steps) == 1 && w.steps[0].slots == 0 }
--- a/goldcreststand/internal/hub/retrybudget.go
+++ b/goldcreststand/internal/hub/retrybudget.go
@@ -9,9 +9,18 @@
 // deniedInterval is the minimum time between two log lines about retries that were denied.
 const deniedInterval = time.Second
 
+// extraRetries returns this instance's part of the extra retries of a service. It is 0 in the first window, when those of
+// a process that ran before on the same machine may still count, and while the other instances are not known.
+func (st *state) extraRetries() float64 {
+	if st.now.Sub(st.started) < st.self.Bounds.RetryWindow || !st.loaded[KindMembers] {
+		return 0
+	}
+	return st.self.Bounds.RetryExtra / float64(st.instances())
+}
+
 // limitRetries sets this instance's part of the extra retries in the budgets of all services.
 func (st *state) limitRetries() {
-	extra := st.extraRetries.At(st.now)
+	extra := st.extraRetries()
 	for _, s := range st.services {
 		s.retryBudget.SetExtra(extra)
 	}
--- a/goldcreststand/internal/hub/retrybudget_test.go
+++ b/goldcreststand/internal/hub/retrybudget_test.go
@@ -187,3 +187,23 @@
 	f.run(fleetRetryWindow)
 	require.Greater(t, len(f.retries), fleetExtra/2)
 }
+
+// Guards against more connections of all instances to one server than it allows, while instances that run are missing from
+// the list of members.
+func TestConnectionsOfAllInstances(t *testing.T) {
+	f := newRetryFleet()
+	for i := range fleetSize {
+		f.start(i)
+	}
+	f.run(time.Second)
+	for i := range fleetSize / 2 {
+		f.list(i, false)
+	}
+	f.run(30 * time.Second)
+	sum := 0
+	for _, st := range f.running {
+		srv := st.serverSnapshot(st.config.Services[testService], &server{entry: entry("s1", "v1")}, nil)
+		sum += srv.MaxConns
+	}
+	require.LessOrEqual(t, sum, config(1).Services[testService].MaxConns)
+}
--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -11,6 +11,7 @@
 	"goldcreststand.example/core/canary"
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/place"
+	"goldcreststand.example/core/recent"
 	"goldcreststand.example/core/relay"
 	"goldcreststand.example/core/retry"
 	"goldcreststand.example/core/ring"
@@ -59,6 +60,9 @@
 	// unknownInstances is the number of instances that may start before this one knows of them. Each of them uses
 	// its part of the shared limits at once.
 	unknownInstances = 4
+	// departedMemory is the time for which instances that are missing from the list of members keep their parts of the shared
+	// limits. Such an instance may run: the store may have lost its entry, and callers go on using its address.
+	departedMemory = time.Minute
 	// coldSenders is the number of instances that send to one cold server, and coldRateShare the share of the
 	// server's warm-up rate that they use together. It can double while instances have different lists of members.
 	coldSenders   = 2
@@ -111,8 +115,8 @@
 	services             map[ident.ServiceName]*service
 	evacuated            map[ident.DomainName]bool
 	members              []ring.Member
-	// extraRetries is this instance's part of the extra retries of a service.
-	extraRetries *retry.ExtraShare
+	// memberCount is the largest number of members of the last departedMemory.
+	memberCount *recent.Extreme[int]
 	// sendsToCold reports for each server whether this instance sends to it while it is cold.
 	sendsToCold map[ident.ServerID]bool
 	monitor     *ring.Monitor
@@ -186,7 +190,7 @@
 		loaded: make(map[Kind]bool), unavailableSince: make(map[Kind]time.Time), revisions: make(map[Kind]ident.Revision),
 		listRevisions: make(map[Kind]ident.Revision), objectRevisions: make(map[Kind]map[string]ident.Revision),
 		subscription: relay.NewSubscription(self.Member, now),
-		extraRetries: retry.NewExtraShare(self.Bounds.RetryExtra, self.Bounds.RetryWindow, now),
+		memberCount:  recent.NewMax(departedMemory, 1),
 	}
 }
 
@@ -196,7 +200,7 @@
 	if !ok {
 		s = &service{
 			rollout: canary.NewCoordinatedRollout(st.self.ID), trialLimiter: spread.NewTrialLimiter(canary.TrialShare, trialExtraCalls),
-			retryBudget:  retry.NewSlidingWindow(st.self.Bounds.RetryShare, st.extraRetries.At(st.now), st.self.Bounds.RetryWindow, st.now),
+			retryBudget:  retry.NewSlidingWindow(st.self.Bounds.RetryShare, st.extraRetries(), st.self.Bounds.RetryWindow, st.now),
 			admittedFrom: make(map[ident.VersionName]time.Time),
 		}
 		st.services[n] = s
@@ -205,7 +209,12 @@
 }
 
 // instances returns the number of instances that shared limits are divided by.
-func (st *state) instances() int { return max(1, len(st.members)) + unknownInstances }
+func (st *state) instances() int { return st.memberCount.Value() + unknownInstances }
+
+// countMembers records the present number of members.
+func (st *state) countMembers() {
+	st.memberCount.Observe(st.now.Sub(st.started), max(1, len(st.members)))
+}
 
 // ready reports whether all kinds that request handling needs have been read.
 func (st *state) ready() bool {
--- a/goldcreststand/internal/hub/storeevents.go
+++ b/goldcreststand/internal/hub/storeevents.go
@@ -343,7 +343,7 @@
 			st.usage.candidates = nil
 		}
 	}
-	st.extraRetries.SetInstances(st.instances(), st.now)
+	st.countMembers()
 	st.limitRetries()
 	st.subscription.SetMembers(members, st.now)
 	return append(st.register(), st.chooseSources()...)
--- a/goldcreststand/internal/hub/tick.go
+++ b/goldcreststand/internal/hub/tick.go
@@ -117,6 +117,7 @@
 	st.deleteRemovedServers()
 	st.checkOrderWaits()
 	st.confirmWithoutStore()
+	st.countMembers()
 	st.limitRetries()
 	st.logDeniedRetries()
 	out := st.register()
