--- a/goldcreststand/internal/hub/retrybudget_test.go
+++ b/goldcreststand/internal/hub/retrybudget_test.go
@@ -148,6 +148,12 @@
 			}
 			f.run(3 * fleetRetryWindow)
 		}},
+		{name: "doubled", run: func(f *retryFleet) {
+			for i := range fleetSize {
+				f.start(fleetSize + i)
+			}
+			f.run(2 * fleetRetryWindow)
+		}},
 		{name: "all killed", run: func(f *retryFleet) {
 			for i := range fleetSize {
 				f.kill(i)
