--- a/core/retry/call_test.go
+++ b/core/retry/call_test.go
@@ -207,3 +207,15 @@
 		require.InEpsilon(t, float64(99*scale/10), float64(d.Value()), 0.25)
 	}
 }
+
+// Guards against a retry that is never sent, because no server is found for it, and still uses up the budget of other calls.
+func TestUnsentRetryIsGivenBack(t *testing.T) {
+	at := time.Unix(1e6, 0)
+	budget := retry.NewSlidingWindow(0, 1, 10*time.Second, at)
+	for range 2 {
+		c := retry.New(retry.Policy{MaxTries: 2}, budget, at.Add(time.Minute))
+		c.Handle(retry.CallStarted{At: at})
+		require.IsType(t, retry.SendTry{}, c.Handle(retry.TryShed{At: at, Try: 1})[0])
+		require.Equal(t, []retry.Action{retry.RejectCall{Cause: retry.CauseShed}}, c.Handle(retry.NoServerAvailable{At: at, Try: 2}))
+	}
+}
