--- a/core/retry/slidingwindow.go
+++ b/core/retry/slidingwindow.go
@@ -91,6 +91,7 @@
 
 // allows reports whether one more resend now keeps the bound of each span that ends now.
 func (w *SlidingWindow) allows() bool {
+	// When calls become fewer, those of the last window allow less than the mean.
 	calls, resends := w.sums()
 	if !w.within(resends, float64(calls)) {
 		return false
