--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -16,7 +16,7 @@
 }
 
 func play(name, path string) int {
-	cases := map[string]func(dir string, rec *record, trouble bool) int{"mixed": mixed, "crowd": crowd}
+	cases := map[string]func(dir string, rec *record, trouble bool) int{"mixed": mixed, "crowd": crowd, "behind": behind}
 	f, ok := cases[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", name)
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -65,6 +65,8 @@
 	running           int
 	// BrokenHeads is the share of the answers that break off within the head and are followed by a failure of the same request.
 	BrokenHeads float64
+	// BrokenBodies is the share of the answers that break off within the body, with a reset.
+	BrokenBodies float64
 }
 
 func newServer(id, service, zone string, slots int, rs *runs) *Server {
@@ -188,6 +190,12 @@
 		fmt.Fprintf(nc, "HTTP/1.1 500 Internal Server Error\r\nX-Goldcreststand-Request-Id: %s\r\nContent-Length: 7\r\n\r\nfailed\n", id)
 		return true
 	}
+	if rand.Float64() < s.BrokenBodies {
+		fmt.Fprintf(nc, "%s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body[:len(body)*9/10])
+		time.Sleep(20 * time.Millisecond)
+		_ = nc.(*net.TCPConn).SetLinger(0)
+		return false
+	}
 	s.runs.answer(id, 200)
 	_, err := fmt.Fprintf(nc, "%s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	return err == nil
