edge: a reset during an upload is not the end of a body

Cause: the operating system reports a reset once, to the first call that asks. The goroutine that writes the upload got it; the next read of the body then returned the end of the connection, which ends a body without a length. The error of the write only kept the connection from being reused.

Change: a body that ends with its connection is whole only if the upload did not fail. At the end of such a body the upload is stopped and its result is read; this holds for buffered and for streamed bodies.

--- a/goldcreststand/internal/edge/conn.go
+++ b/goldcreststand/internal/edge/conn.go
@@ -74,6 +74,8 @@
 	limit *limitedReader
 	br    *bufio.Reader
 	long  longBodies
+	// upload writes the body of the current request, or is nil if it was written before the response is read.
+	upload *upload
 	// expires is the end of the idle timeout.
 	expires     time.Time
 	idleTimeout time.Duration
@@ -168,6 +170,7 @@
 // roundTrip sends the request and reads its response. wrote reports whether any byte was written.
 func (c *conn) roundTrip(d Dialect, req *serverRequest) (resp *response, wrote bool, err error) {
 	msg := req.head
+	c.upload = nil
 	inline := req.body.size <= maxInlineBody
 	if inline {
 		msg = slices.Concat(append([][]byte{msg}, req.body.parts...)...)
@@ -181,16 +184,10 @@
 		resp, err = c.readResponse(d, req)
 		return resp, true, err
 	}
-	written := make(chan error, 1)
-	go func() { written <- req.body.writeTo(c.nc) }()
+	c.upload = startUpload(c.nc, req.body)
 	resp, err = c.readResponse(d, req)
-	select {
-	case werr := <-written:
-		c.unusable = c.unusable || werr != nil
-	default:
-		// The server responded before the whole body was written, so the connection must be closed.
-		c.unusable = true
-	}
+	// If the server responded before the whole body was written, the connection must be closed.
+	c.unusable = c.unusable || !c.upload.complete()
 	return resp, true, err
 }
 
@@ -248,6 +245,9 @@
 		notice: d.Notice(resp.StatusCode, resp.Header),
 	}
 	c.limit.startBody()
+	if c.upload != nil && endsWithConn(resp) {
+		resp.Body = &uploadCheckedBody{resp.Body, c.upload}
+	}
 	var err error
 	switch n := resp.ContentLength; {
 	case resp.Body == http.NoBody:
