a status below 100 is no response

Callers and clients of the store got answers with the status 000 as answers. net/http reads any three digits as a status.

Cause and what was seen, by front end and client: - edge skipped such a response like an informational one and read its body as the response to the call; a response inside the body reached the caller. - proxy passed it on; the caller's connection ended without a response, since http1 refuses to write the status. - platform took it for a success: a write counted as done, a list or watch was applied. - lib/plat reported a write as rejected and not executed, which is not known. - checks, probes, usage reports and the lookups of goldctl and goldload took it for a failure already.

Change: lib/header.CheckResponse rejects such a head, and each reader of responses calls it. The call is then one without a response: 502 or a try at another server; the outcome of a write is unknown.

--- a/goldcreststand/internal/edge/conn.go
+++ b/goldcreststand/internal/edge/conn.go
@@ -17,6 +17,7 @@
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/notice"
 	"goldcreststand.example/core/spread"
+	"goldcreststand.example/lib/header"
 )
 
 const (
@@ -141,6 +142,9 @@
 	case earlyEncoding, hasSpacedFraming(resp.Header):
 		return nil, errFaultyFraming
 	}
+	if err := header.CheckResponse(resp); err != nil {
+		return nil, err
+	}
 	return resp, nil
 }
 
--- a/goldcreststand/internal/prober/prober.go
+++ b/goldcreststand/internal/prober/prober.go
@@ -18,6 +18,7 @@
 	"goldcreststand.example/core/probe"
 	"goldcreststand.example/goldcreststand/internal/ctrl"
 	"goldcreststand.example/goldcreststand/internal/worker"
+	"goldcreststand.example/lib/header"
 	"goldcreststand.example/schema/wire"
 )
 
@@ -112,7 +113,7 @@
 	}
 	// Omitting the header saves bytes of the probe budget.
 	req.Header.Set("User-Agent", "")
-	resp, err := t.RoundTrip(req)
+	resp, err := header.Checked(t.RoundTrip(req))
 	if err != nil {
 		return 0, err
 	}
--- a/goldcreststand/internal/proxy/conn.go
+++ b/goldcreststand/internal/proxy/conn.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"goldcreststand.example/core/pool"
+	"goldcreststand.example/lib/header"
 )
 
 // Limits of a connection to a backend server.
@@ -150,6 +151,11 @@
 	return c.wrote
 }
 
+// roundTrip sends the request and returns the response. The head of the response is valid.
+func (c *conn) roundTrip(req *http.Request) (*http.Response, error) {
+	return header.Checked(c.transport.RoundTrip(req))
+}
+
 // ping verifies with a health check that the server still responds on the connection.
 func (c *conn) ping(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
@@ -159,7 +165,7 @@
 	if err != nil {
 		return false
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := c.roundTrip(req)
 	if err != nil {
 		return false
 	}
--- a/goldcreststand/internal/proxy/try.go
+++ b/goldcreststand/internal/proxy/try.go
@@ -66,7 +66,7 @@
 			return
 		}
 		t.call.post(retry.TryConnected{At: t.call.now(), Try: t.number, Verified: t.verified})
-		resp, err := t.conn.transport.RoundTrip(t.request())
+		resp, err := t.conn.roundTrip(t.request())
 		if err == nil && t.conn.requestStarted() {
 			t.handleResponse(resp)
 			return
--- a/goldctl/internal/cmd/statusresults.go
+++ b/goldctl/internal/cmd/statusresults.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/lib/header"
 	"goldcreststand.example/schema/wire"
 )
 
@@ -93,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := header.Checked(http.DefaultClient.Do(req))
 	if err != nil {
 		return err
 	}
--- a/goldload/internal/load/resolver.go
+++ b/goldload/internal/load/resolver.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"goldcreststand.example/lib/header"
 	"goldcreststand.example/schema/wire"
 )
 
@@ -66,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := r.hc.Do(req)
+	resp, err := header.Checked(r.hc.Do(req))
 	if err != nil {
 		return nil, err
 	}
--- a/goldload/internal/load/runner.go
+++ b/goldload/internal/load/runner.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/lib/header"
 )
 
 // Limits of a run.
@@ -162,7 +163,7 @@
 	if q.tenant != "" {
 		req.Header.Set("Tenant", string(q.tenant))
 	}
-	resp, err := r.hc.Do(req)
+	resp, err := header.Checked(r.hc.Do(req))
 	if err != nil {
 		return verdictOfError(err), err
 	}
--- a/lib/plat/client.go
+++ b/lib/plat/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/lib/header"
 	"goldcreststand.example/schema/wire"
 )
 
@@ -113,7 +114,7 @@
 	} else {
 		req.Header.Set("If-Match", string(tag))
 	}
-	resp, err := c.hc.Do(req)
+	resp, err := header.Checked(c.hc.Do(req))
 	if err != nil {
 		if isDialError(err) {
 			return "", ErrUnavailable.Wrap(err)
@@ -144,7 +145,7 @@
 	if wait > 0 {
 		req.Header.Set("Prefer", fmt.Sprintf("wait=%d", max(1, int(wait/time.Second))))
 	}
-	resp, err := c.hc.Do(req)
+	resp, err := header.Checked(c.hc.Do(req))
 	if err != nil {
 		return "", false, ErrUnavailable.Wrap(err)
 	}
