a field name with a space is no part of a response

Callers got answers in whose head the name of a field held a space, with that line passed on, or with a body that was not the server's: of a line like "Content Length: 2" or a folded "Content-Length: 2" net/http applies nothing, and the body went on to the end of the connection.

Cause: net/http refuses names with a tab or a control byte, but keeps names with a space, and reads a line that starts with a space as a part of the value before it. edge refused only names that are Content-Length or Transfer-Encoding without their spaces. proxy passed such lines on, also in trailers, and the clients of the store used such replies.

Other folded lines stay a part of the value before them (RFC 9112, section 5.2).

--- a/goldcreststand/internal/edge/conn.go
+++ b/goldcreststand/internal/edge/conn.go
@@ -139,7 +139,7 @@
 		return nil, err
 	case len(resp.Header) > maxResponseFields:
 		return nil, errResponseTooLarge
-	case earlyEncoding, hasSpacedFraming(resp.Header):
+	case earlyEncoding:
 		return nil, errFaultyFraming
 	}
 	if err := header.CheckResponse(resp); err != nil {
--- a/goldcreststand/internal/edge/framing.go
+++ b/goldcreststand/internal/edge/framing.go
@@ -7,7 +7,6 @@
 	"net/textproto"
 	"regexp"
 	"slices"
-	"strings"
 
 	"github.com/zeebo/errs"
 )
@@ -18,21 +17,6 @@
 // statusLine matches a status line (RFC 9112, section 4).
 var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}( |$)`)
 
-// hasSpacedFraming reports whether a field that tells the end of the body has a space before its colon (RFC 9112, section
-// 5.1). net/http does not apply such a field.
-func hasSpacedFraming(h http.Header) bool {
-	for k := range h {
-		if !strings.Contains(k, " ") {
-			continue
-		}
-		switch http.CanonicalHeaderKey(strings.TrimSpace(k)) {
-		case "Content-Length", "Transfer-Encoding":
-			return true
-		}
-	}
-	return false
-}
-
 // hasEncodingBeforeHTTP11 reports whether the next response has a version below HTTP/1.1 and a Transfer-Encoding, and so a faulty
 // framing (RFC 9112, section 6.1). net/http drops that field. Only the part of the head that fits into the buffer counts.
 func hasEncodingBeforeHTTP11(br *bufio.Reader) bool {
--- a/goldcreststand/internal/proxy/invalidhead_test.go
+++ b/goldcreststand/internal/proxy/invalidhead_test.go
@@ -29,3 +29,35 @@
 		})
 	}
 }
+
+// Guards against a field whose name has a blank or a control byte that reaches the caller, or that net/http does not apply
+// although it tells the end of the body.
+func TestInvalidFieldNameIsNoResponse(t *testing.T) {
+	const length = "Content-Length: 2\r\n"
+	for name, fields := range map[string]string{
+		"space":              "X Y: z\r\n" + length + "\r\nok",
+		"space before colon": "X : z\r\n" + length + "\r\nok",
+		"tab":                "X\tY: z\r\n" + length + "\r\nok",
+		"control byte":       "X\x01Y: z\r\n" + length + "\r\nok",
+		"null":               "X\x00: z\r\n" + length + "\r\nok",
+		"length":             "Content Length: 2\r\n\r\nok and more",
+		"length and chunks":  "Content-Length : 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"chunks and length":  "X: y\r\n Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			requireNoResponse(t, "HTTP/1.1 200 OK\r\n"+fields)
+		})
+	}
+}
+
+// Guards against a trailer with such a name that reaches the caller behind a response that looks complete.
+func TestInvalidTrailerNameDoesNotLookComplete(t *testing.T) {
+	for _, trailer := range []string{"X Y: z", "X : z", "X\tY: z", "X\x01: z"} {
+		t.Run(trailer, func(t *testing.T) {
+			text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + trailer + "\r\n\r\n"
+			b := &breakOff{text: text, calls: make(map[string]int)}
+			got := request(newBrokenOffInstance(t, b), http.MethodPost, "/x/"+strconv.Itoa(len(text)), nil)
+			require.True(t, got.err != nil || got.status == http.StatusBadGateway, "%+v", got)
+		})
+	}
+}
--- a/goldcreststand/internal/proxy/try.go
+++ b/goldcreststand/internal/proxy/try.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -227,9 +228,12 @@
 	t *try
 }
 
-// Read finishes the try at the end of the body.
+// Read finishes the try at the end of the body. A body with an invalid trailer is broken.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(header.CheckFields(b.t.resp.Trailer), err)
+	}
 	if errors.Is(err, io.EOF) {
 		b.t.finish(b.t.result(), true)
 	} else if err != nil {
--- a/lib/header/response.go
+++ b/lib/header/response.go
@@ -2,19 +2,41 @@
 
 import (
 	"net/http"
+	"regexp"
+	"slices"
 
 	"github.com/zeebo/errs"
+	"golang.org/x/net/http/httpguts"
 )
 
+// foldedFraming matches a folded line (RFC 9112, section 5.2), which is a part of the value before it, that reads like a field
+// that tells the end of the body. Its sender may have meant that field.
+var foldedFraming = regexp.MustCompile(`(?i)(^| )(content-length *: *[0-9]|transfer-encoding *: *[a-z])`)
+
 // ErrInvalidHead is the class of heads of responses that net/http reads although they are invalid.
 var ErrInvalidHead = errs.Class("head of the response is invalid")
 
 // CheckResponse returns an error of the class ErrInvalidHead if the bytes that net/http read are no response: the status is
-// below 100 (RFC 9110, section 15).
+// below 100 (RFC 9110, section 15), or a field is invalid as CheckFields says.
 func CheckResponse(resp *http.Response) error {
 	if resp.StatusCode < http.StatusContinue {
 		return ErrInvalidHead.New("status %q", resp.Status)
 	}
+	return CheckFields(resp.Header)
+}
+
+// CheckFields returns an error of the class ErrInvalidHead if the name of a field is no token (RFC 9110, section 5.1), or if it
+// is not certain whether a line is a field that tells the end of the body. net/http keeps names with spaces, and does not apply
+// the fields.
+func CheckFields(h http.Header) error {
+	for name, values := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return ErrInvalidHead.New("field name %q", name)
+		}
+		if slices.ContainsFunc(values, foldedFraming.MatchString) {
+			return ErrInvalidHead.New("folded line in field %q", name)
+		}
+	}
 	return nil
 }
 
--- a/lib/header/response_test.go
+++ b/lib/header/response_test.go
@@ -27,6 +27,13 @@
 		{name: "ok", text: "HTTP/1.1 200 OK\r\nX: y\r\n\r\n", valid: true},
 		{name: "informational", text: "HTTP/1.1 100 Continue\r\n\r\n", valid: true},
 		{name: "largest status", text: "HTTP/1.1 599 X\r\n\r\n", valid: true},
+		{name: "folded", text: "HTTP/1.1 200 OK\r\nX: y\r\n z\r\n\r\n", valid: true},
+		{name: "folded field", text: "HTTP/1.1 200 OK\r\nX: y\r\n Z: z\r\n\r\n", valid: true},
+		{name: "framing fields in a value", text: "HTTP/1.1 200 OK\r\nVary: Content-Length, Transfer-Encoding\r\n\r\n", valid: true},
+		{name: "space in a name", text: "HTTP/1.1 200 OK\r\nX Y: z\r\n\r\n"},
+		{name: "space before the colon", text: "HTTP/1.1 200 OK\r\nX : y\r\n\r\n"},
+		{name: "folded length", text: "HTTP/1.1 200 OK\r\nX:\r\n\tContent-Length : 2\r\n\r\n"},
+		{name: "folded encoding", text: "HTTP/1.1 200 OK\r\nX: y\r\n transfer-encoding: chunked\r\n\r\n"},
 		{name: "status zero", text: "HTTP/1.1 000 X\r\n\r\n"},
 		{name: "status below 100", text: "HTTP/1.1 099 X\r\n\r\n"},
 	}
--- a/lib/plat/invalidhead_test.go
+++ b/lib/plat/invalidhead_test.go
@@ -26,3 +26,13 @@
 		})
 	}
 }
+
+// Guards against a reply with a field whose name has a blank or a control byte, of which it is not certain where its body ends.
+func TestInvalidFieldNameIsNoReply(t *testing.T) {
+	const body = `{"service":"inventory","revision":7,"servers":[]}`
+	for _, field := range []string{"X Y: z", "X : z", "X\tY: z", "X\x01: z", "Content-Length : 5", "Y: z\r\n Content-Length: 5"} {
+		t.Run(field, func(t *testing.T) {
+			requireNoReply(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\n"+body)
+		})
+	}
+}
