--- a/lib/header/response.go
+++ b/lib/header/response.go
@@ -2,17 +2,13 @@
 
 import (
 	"net/http"
-	"regexp"
 	"slices"
+	"strings"
 
 	"github.com/zeebo/errs"
 	"golang.org/x/net/http/httpguts"
 )
 
-// foldedFraming matches a folded line (RFC 9112, section 5.2), which is a part of the value before it, that reads like a field
-// that tells the end of the body. Its sender may have meant that field.
-var foldedFraming = regexp.MustCompile(`(?i)(^| )(content-length *: *[0-9]|transfer-encoding *: *[a-z])`)
-
 // ErrInvalidHead is the class of heads of responses that net/http reads although they are invalid.
 var ErrInvalidHead = errs.Class("head of the response is invalid")
 
@@ -33,13 +29,30 @@
 		if !httpguts.ValidHeaderFieldName(name) {
 			return ErrInvalidHead.New("field name %q", name)
 		}
-		if slices.ContainsFunc(values, foldedFraming.MatchString) {
+		if slices.ContainsFunc(values, hasFoldedFraming) {
 			return ErrInvalidHead.New("folded line in field %q", name)
 		}
 	}
 	return nil
 }
 
+// hasFoldedFraming reports whether a folded line (RFC 9112, section 5.2) reads like a field that tells the end of the body. The
+// line is a part of the value before it, but its sender may have meant the field.
+func hasFoldedFraming(value string) bool {
+	for {
+		name, rest, ok := strings.Cut(value, ":")
+		if !ok {
+			return false
+		}
+		name = strings.TrimRight(name, " ")
+		name = name[strings.LastIndexByte(name, ' ')+1:]
+		if strings.EqualFold(name, "Content-Length") || strings.EqualFold(name, "Transfer-Encoding") {
+			return true
+		}
+		value = rest
+	}
+}
+
 // Checked returns what a client of net/http returned. A response that CheckResponse rejects is closed and becomes an error.
 func Checked(resp *http.Response, err error) (*http.Response, error) {
 	if err != nil {
