a head with the status line of another response is no response

Cause: net/http reads both heads as one, with the status of the first and the body of the second. Both have the id, and the first has the signature. edge looked for the second status line only to reject refusals; proxy and the clients of the store did not look.

A response cut between two fields was no response before, since a status line has no colon where net/http asks for one.

A field that quotes a status line makes a valid response one that is refused; it cannot be told from a head that broke off.

--- a/goldcreststand/internal/edge/conn.go
+++ b/goldcreststand/internal/edge/conn.go
@@ -245,7 +245,7 @@
 func (c *conn) readBody(d Dialect, resp *http.Response) (*response, error) {
 	out := &response{
 		status: resp.StatusCode, header: resp.Header, id: d.RequestID(resp.Header),
-		notExecuted: d.NotExecuted(resp.StatusCode, resp.Header) && !hasStatusLine(resp), signed: d.Signed(resp.Header),
+		notExecuted: d.NotExecuted(resp.StatusCode, resp.Header), signed: d.Signed(resp.Header),
 		notice: d.Notice(resp.StatusCode, resp.Header),
 	}
 	c.limit.startBody()
--- a/goldcreststand/internal/edge/framing.go
+++ b/goldcreststand/internal/edge/framing.go
@@ -3,10 +3,7 @@
 import (
 	"bufio"
 	"bytes"
-	"net/http"
 	"net/textproto"
-	"regexp"
-	"slices"
 
 	"github.com/zeebo/errs"
 )
@@ -14,9 +11,6 @@
 // errFaultyFraming reports a response of which it is not certain where its body ends.
 var errFaultyFraming = errs.New("framing of the response is faulty")
 
-// statusLine matches a status line (RFC 9112, section 4).
-var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}( |$)`)
-
 // hasEncodingBeforeHTTP11 reports whether the next response has a version below HTTP/1.1 and a Transfer-Encoding, and so a faulty
 // framing (RFC 9112, section 6.1). net/http drops that field. Only the part of the head that fits into the buffer counts.
 func hasEncodingBeforeHTTP11(br *bufio.Reader) bool {
@@ -42,17 +36,3 @@
 		return len(h["Transfer-Encoding"]) > 0
 	}
 }
-
-// hasStatusLine reports whether a field or the reason of the response contains the status line of another one. The head of
-// the first then broke off there, and the rest is that of the other.
-func hasStatusLine(resp *http.Response) bool {
-	if statusLine.MatchString(resp.Status) {
-		return true
-	}
-	for _, values := range resp.Header {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
-			return true
-		}
-	}
-	return false
-}
--- a/goldcreststand/internal/edge/truncatedhead_test.go
+++ b/goldcreststand/internal/edge/truncatedhead_test.go
@@ -173,6 +173,26 @@
 	}
 }
 
+// Guards against a success that breaks off in its head and is followed by the failure of the same call, which a handler that
+// fails while it writes sends: it would be taken for a success with the body of the failure.
+func TestSuccessBeforeFailureIsNoSuccess(t *testing.T) {
+	const failure = "HTTP/1.1 500 Broken\r\nId: r1\r\nContent-Length: 3\r\n\r\nbad"
+	for _, success := range []string{
+		"HTTP/1.1 200 OK\r\nId: r1\r\nSig: s\r\nX: y\r\nContent-Length: 3\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX: y\r\nSig: s\r\nContent-Length: 3\r\nId: r1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX: y\r\nSig: s\r\nTransfer-Encoding: chunked\r\nId: r1\r\n\r\n",
+	} {
+		for n := 1; n < len(success); n++ {
+			for _, piece := range []int{1, len(success) + len(failure)} {
+				c := newCutConn(success[:n]+failure, piece, io.EOF)
+				resp, _, err := c.roundTrip(plainDialect{}, &serverRequest{method: http.MethodGet, id: "r1"})
+				require.Error(t, err, "%d bytes of the success: %v", n, resp)
+				require.True(t, c.unusable)
+			}
+		}
+	}
+}
+
 // Guards against a refusal that breaks off and is followed by the response to the call, which was executed: both would be
 // taken for a refusal of the call, which is then sent again.
 func TestRefusalBeforeResponseIsNoRefusal(t *testing.T) {
--- a/goldcreststand/internal/proxy/invalidhead_test.go
+++ b/goldcreststand/internal/proxy/invalidhead_test.go
@@ -61,3 +61,13 @@
 		})
 	}
 }
+
+// Guards against a head that breaks off and is followed by another response: callers would get the status of the first and the
+// body of the second.
+func TestHeadsOfTwoResponsesAreNoResponse(t *testing.T) {
+	const first = "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 3\r\n\r\n"
+	const second = "HTTP/1.1 500 Broken\r\nContent-Length: 3\r\n\r\nbad"
+	for n := 1; n < len(first); n++ {
+		requireNoResponse(t, first[:n]+second)
+	}
+}
--- a/lib/header/response.go
+++ b/lib/header/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"regexp"
 	"slices"
 	"strings"
 
@@ -9,28 +10,36 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// statusLine matches a status line (RFC 9112, section 4).
+var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}( |$)`)
+
 // ErrInvalidHead is the class of heads of responses that net/http reads although they are invalid.
 var ErrInvalidHead = errs.Class("head of the response is invalid")
 
 // CheckResponse returns an error of the class ErrInvalidHead if the bytes that net/http read are no response: the status is
-// below 100 (RFC 9110, section 15), or a field is invalid as CheckFields says.
+// below 100 (RFC 9110, section 15), the reason has the status line of another response, or a field is invalid as CheckFields
+// says.
 func CheckResponse(resp *http.Response) error {
-	if resp.StatusCode < http.StatusContinue {
+	if resp.StatusCode < http.StatusContinue || statusLine.MatchString(resp.Status) {
 		return ErrInvalidHead.New("status %q", resp.Status)
 	}
 	return CheckFields(resp.Header)
 }
 
-// CheckFields returns an error of the class ErrInvalidHead if the name of a field is no token (RFC 9110, section 5.1), or if it
-// is not certain whether a line is a field that tells the end of the body. net/http keeps names with spaces, and does not apply
-// the fields.
+// CheckFields returns an error of the class ErrInvalidHead if the name of a field is no token (RFC 9110, section 5.1), if it is
+// not certain whether a line is a field that tells the end of the body, or if a field has the status line of another response.
+// net/http keeps names with spaces, and does not apply the fields. A head that broke off within a field goes on with the head
+// that follows: the status is that of the first response, and the body that of the second.
 func CheckFields(h http.Header) error {
 	for name, values := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return ErrInvalidHead.New("field name %q", name)
 		}
-		if slices.ContainsFunc(values, hasFoldedFraming) {
+		switch {
+		case slices.ContainsFunc(values, hasFoldedFraming):
 			return ErrInvalidHead.New("folded line in field %q", name)
+		case slices.ContainsFunc(values, statusLine.MatchString):
+			return ErrInvalidHead.New("status line in field %q", name)
 		}
 	}
 	return nil
