--- a/goldcreststand/internal/prober/prober_test.go
+++ b/goldcreststand/internal/prober/prober_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -24,6 +25,16 @@
 	return nil
 }
 
+// raw returns a handler that writes the bytes to the connection.
+func raw(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if nc, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_, _ = io.WriteString(nc, text)
+			_ = nc.Close()
+		}
+	}
+}
+
 // Guards against probes that treat an error as healthy, that never end, or that read more than their byte
 // budget.
 func TestProbe(t *testing.T) {
@@ -44,6 +55,9 @@
 		{name: "large head", health: func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Long", strings.Repeat("x", 1<<20))
 		}, failed: true},
+		{name: "invalid status", health: raw("HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n"), failed: true},
+		{name: "invalid field name", health: raw("HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 0\r\n\r\n"), failed: true},
+		{name: "invalid head of the load", load: raw("HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 24\r\n\r\n{\"inflight\":1,\"slots\":3}")},
 		{name: "hangs", health: func(http.ResponseWriter, *http.Request) { <-hang }, failed: true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
