edge: a status check with an invalid head counts as missed

A server whose replies to status checks have an invalid head was checked again, on a new connection, by each call: the reply was dropped without a backoff, where a reply with the status 000 had started one before the check of heads. Such a reply now counts like one without an end.

edge.TestInvalidCheckReplyCountsAsMissed failed before in both cases and passes now.

--- a/goldcreststand/internal/edge/bounds_test.go
+++ b/goldcreststand/internal/edge/bounds_test.go
@@ -95,6 +95,26 @@
 	}
 }
 
+// Guards against a server whose replies to status checks have an invalid head, and that each call checks again.
+func TestInvalidCheckReplyCountsAsMissed(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX Y: z\r\n"} {
+		t.Run(head, func(t *testing.T) {
+			bad := newBackend(t, "s1", respond(200, "bad"))
+			bad.listen(t, func(nc net.Conn) {
+				defer func() { _ = nc.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+					_, _ = fmt.Fprintf(nc, "%s%s: s1\r\n%s: 0,0,4,100\r\nContent-Length: 0\r\n\r\n", head, fieldServer, fieldLoad)
+				}
+			})
+			f := newHarness(t, bad)
+			status, _, _ := f.do(f.request(http.MethodGet, "/unsafe/", nil))
+			require.Equal(t, http.StatusServiceUnavailable, status)
+			require.Zero(t, bad.count())
+			require.Positive(t, f.metrics.MissedChecks.Value())
+		})
+	}
+}
+
 // Guards against a body without end that looks complete, or that is passed on after the route's timeout.
 func TestEndlessBody(t *testing.T) {
 	for name, head := range map[string]string{
--- a/goldcreststand/internal/edge/check.go
+++ b/goldcreststand/internal/edge/check.go
@@ -10,6 +10,7 @@
 
 	"goldcreststand.example/core/notice"
 	"goldcreststand.example/core/spread"
+	"goldcreststand.example/lib/header"
 )
 
 const (
@@ -256,7 +257,7 @@
 		if st.RecordSilentCheck(now) {
 			h.metrics.FullChecks.Add(1)
 		}
-	case isTimeout(err), errors.Is(err, errResponseTooLarge):
+	case isTimeout(err), errors.Is(err, errResponseTooLarge), header.ErrInvalidHead.Has(err):
 		st.RecordNoReply(now)
 	default:
 		return
--- a/lib/header/response.go
+++ b/lib/header/response.go
@@ -46,7 +46,8 @@
 }
 
 // hasFoldedFraming reports whether a folded line (RFC 9112, section 5.2) reads like a field that tells the end of the body. The
-// line is a part of the value before it, but its sender may have meant the field.
+// line is a part of the value before it, but its sender may have meant the field. A value that quotes such a field looks the
+// same.
 func hasFoldedFraming(value string) bool {
 	for {
 		name, rest, ok := strings.Cut(value, ":")
