edge, proxy: one test for bodies that end with the connection

edge had written the opposite of proxy's hasDelimitedBody. Both call header.HasDelimitedBody now. Both also use sock.Past as the deadline that ends pending input or output, in place of its value. No change of behaviour.

--- a/goldcreststand/internal/edge/conn.go
+++ b/goldcreststand/internal/edge/conn.go
@@ -249,7 +249,7 @@
 		notice: d.Notice(resp.StatusCode, resp.Header),
 	}
 	c.limit.startBody()
-	if c.upload != nil && endsWithConn(resp) {
+	if c.upload != nil && !header.HasDelimitedBody(resp) {
 		resp.Body = &uploadCheckedBody{resp.Body, c.upload}
 	}
 	var err error
--- a/goldcreststand/internal/edge/upload.go
+++ b/goldcreststand/internal/edge/upload.go
@@ -4,12 +4,12 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"syscall"
-	"time"
 
 	"github.com/zeebo/errs"
+
+	"goldcreststand.example/goldcreststand/internal/sock"
 )
 
 // errUpload is the class of writes of a request's body that failed.
@@ -46,7 +46,7 @@
 // stop ends the write. It returns an error if the write failed, unless the server had ended its side of the connection
 // before: the operating system then reports EPIPE in place of the reset, and whatever the server sent has arrived.
 func (u *upload) stop() error {
-	if err := u.nc.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+	if err := u.nc.SetWriteDeadline(sock.Past); err != nil {
 		return err
 	}
 	<-u.done
@@ -56,11 +56,6 @@
 	return u.err
 }
 
-// endsWithConn reports whether the end of the response's body is that of the connection.
-func endsWithConn(resp *http.Response) bool {
-	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // uploadCheckedBody is a body that ends with its connection. The operating system reports a reset of a connection once. If the
 // upload gets it, a read returns the end of the connection, as after a whole body.
 type uploadCheckedBody struct {
--- a/goldcreststand/internal/proxy/requestbody.go
+++ b/goldcreststand/internal/proxy/requestbody.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+
+	"goldcreststand.example/goldcreststand/internal/sock"
 )
 
 // requestBody is the body of a caller's request. A buffered body can be sent repeatedly, a streamed body only
@@ -67,7 +69,7 @@
 // connection to detect that the caller closes it.
 func (b *requestBody) interruptRead() {
 	if b.streamed() && !b.reachedEOF.Load() {
-		b.setReadDeadline(time.Unix(1, 0))
+		b.setReadDeadline(sock.Past)
 	}
 }
 
--- a/goldcreststand/internal/proxy/try.go
+++ b/goldcreststand/internal/proxy/try.go
@@ -121,7 +121,7 @@
 	t.outcome.Inflight, t.outcome.Slots = parseLoad(resp.Header.Get(headerLoad))
 	t.resp = resp
 	switch {
-	case !hasDelimitedBody(resp):
+	case !header.HasDelimitedBody(resp):
 		// The end of a body that is delimited by the close of the connection is indistinguishable from a
 		// truncation.
 		_ = resp.Body.Close()
@@ -249,14 +249,6 @@
 	return err
 }
 
-// hasDelimitedBody reports whether the response's body is delimited by a length or by chunked encoding.
-func hasDelimitedBody(resp *http.Response) bool {
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		return false
-	}
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
-}
-
 // retryableStatus reports whether another server may respond successfully after a response with the status.
 func retryableStatus(status int) bool {
 	switch status {
--- a/lib/header/response.go
+++ b/lib/header/response.go
@@ -45,6 +45,15 @@
 	return nil
 }
 
+// HasDelimitedBody reports whether the response's body is delimited by a length or by chunked encoding, and not by the end of
+// the connection.
+func HasDelimitedBody(resp *http.Response) bool {
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return false
+	}
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
+}
+
 // hasFoldedFraming reports whether a folded line (RFC 9112, section 5.2) reads like a field that tells the end of the body. The
 // line is a part of the value before it, but its sender may have meant the field. A value that quotes such a field looks the
 // same.
