--- a/goldcreststand/internal/edge/early_test.go
+++ b/goldcreststand/internal/edge/early_test.go
@@ -11,14 +11,15 @@
 	"goldcreststand.example/core/ident"
 )
 
-// newEarlyBackend returns a backend that responds to a call after its header and never reads the body.
-func newEarlyBackend(t *testing.T, id ident.ServerID) *backend {
+// newEarlyBackend returns a backend that responds to a call after its header with respond, and never reads the body. The
+// connection ends when respond returns.
+func newEarlyBackend(t *testing.T, id ident.ServerID, respond func(nc *net.TCPConn, r *http.Request)) *backend {
 	b := &backend{id: id}
-	b.listen(t, b.serveEarly)
+	b.listen(t, func(nc net.Conn) { b.serveEarly(nc.(*net.TCPConn), respond) })
 	return b
 }
 
-func (b *backend) serveEarly(nc net.Conn) {
+func (b *backend) serveEarly(nc *net.TCPConn, respond func(nc *net.TCPConn, r *http.Request)) {
 	defer func() { _ = nc.Close() }()
 	br := bufio.NewReader(nc)
 	for {
@@ -27,9 +28,15 @@
 			return
 		}
 		if r.URL.Path != "/health" {
-			_, _ = io.WriteString(nc, message(r.Header.Get(fieldRequest), http.StatusRequestEntityTooLarge, "early"))
-			select {}
+			respond(nc, r)
+			return
 		}
 		_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 0,0,4,100\r\nContent-Length: 0\r\n\r\n", fieldServer, b.id, fieldLoad)
 	}
 }
+
+// respondTooLarge responds that the body is too large, and keeps the connection open.
+func respondTooLarge(nc *net.TCPConn, r *http.Request) {
+	_, _ = io.WriteString(nc, message(r.Header.Get(fieldRequest), http.StatusRequestEntityTooLarge, "early"))
+	select {}
+}
--- a/goldcreststand/internal/edge/earlyreset_test.go
+++ b/goldcreststand/internal/edge/earlyreset_test.go
@@ -1,7 +1,6 @@
 package edge_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -19,31 +18,15 @@
 // response arrives.
 const uploadSize = 8 << 20
 
-// newUploadBackend returns a backend that responds to a call after its head with a body without a length, and then ends the
-// connection while the rest of the request is still being written.
-func newUploadBackend(t *testing.T, body string, end func(nc *net.TCPConn)) *backend {
-	b := &backend{id: "s1"}
-	b.listen(t, func(conn net.Conn) {
-		nc := conn.(*net.TCPConn)
-		defer func() { _ = nc.Close() }()
-		br := bufio.NewReader(nc)
-		for {
-			r, err := http.ReadRequest(br)
-			if err != nil {
-				return
-			}
-			if r.URL.Path == "/health" {
-				_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 0,0,4,100\r\nContent-Length: 0\r\n\r\n", fieldServer, b.id, fieldLoad)
-				continue
-			}
-			head := strings.ReplaceAll(signedHead, "{id}", r.Header.Get(fieldRequest))
-			if _, err := io.WriteString(nc, head+"\r\n"+body); err == nil {
-				end(nc)
-			}
-			return
+// respondAndEnd returns a function that responds with a body without a length, and then ends the connection while the rest of
+// the request is still being written.
+func respondAndEnd(body string, end func(nc *net.TCPConn)) func(nc *net.TCPConn, r *http.Request) {
+	return func(nc *net.TCPConn, r *http.Request) {
+		head := strings.ReplaceAll(signedHead, "{id}", r.Header.Get(fieldRequest))
+		if _, err := io.WriteString(nc, head+"\r\n"+body); err == nil {
+			end(nc)
 		}
-	})
-	return b
+	}
 }
 
 // upload sends a call with a long body, and returns its status and body or the error of reading the response.
@@ -65,7 +48,7 @@
 	const calls = 10
 	for _, size := range []int{0, 10, 70 << 10, 2 << 20} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			f := newHarness(t, newUploadBackend(t, strings.Repeat("x", size), func(nc *net.TCPConn) { _ = nc.SetLinger(0) }))
+			f := newHarness(t, newEarlyBackend(t, "s1", respondAndEnd(strings.Repeat("x", size), func(nc *net.TCPConn) { _ = nc.SetLinger(0) })))
 			complete := 0
 			for range calls {
 				if status, _, err := f.upload(); err == nil && status == http.StatusOK {
@@ -91,10 +74,10 @@
 	} {
 		for _, size := range tt.sizes {
 			t.Run(fmt.Sprintf("%s %d", tt.name, size), func(t *testing.T) {
-				f := newHarness(t, newUploadBackend(t, strings.Repeat("x", size), func(nc *net.TCPConn) {
+				f := newHarness(t, newEarlyBackend(t, "s1", respondAndEnd(strings.Repeat("x", size), func(nc *net.TCPConn) {
 					_ = nc.CloseWrite()
 					time.Sleep(tt.pause)
-				}))
+				})))
 				for range 5 {
 					status, body, err := f.upload()
 					require.NoError(t, err)
--- a/goldcreststand/internal/edge/handler_test.go
+++ b/goldcreststand/internal/edge/handler_test.go
@@ -226,7 +226,7 @@
 
 // Guards against a long body that delays a response which the server sends before it has read the body.
 func TestEarlyResponseToLongBody(t *testing.T) {
-	f := newHarness(t, newEarlyBackend(t, "s1"))
+	f := newHarness(t, newEarlyBackend(t, "s1", respondTooLarge))
 	// A write that blocks would last until the timeout.
 	f.setTimeout(time.Minute)
 	start := time.Now()
--- a/goldcreststand/internal/edge/invalidhead_test.go
+++ b/goldcreststand/internal/edge/invalidhead_test.go
@@ -15,12 +15,12 @@
 			c := newCutConn(text, piece, io.EOF)
 			resp, wrote, err := c.roundTrip(plainDialect{}, &serverRequest{method: method, id: "r1"})
 			require.True(t, wrote)
-			require.Error(t, err, "%s: %v", method, resp)
+			require.Error(t, err, "%s, %q: %v", method, text, resp)
 			require.Nil(t, resp)
 			require.True(t, c.unusable)
 		}
 		reply, err := newCutConn(text, piece, io.EOF).readCheck(plainDialect{})
-		require.Error(t, err, "%v", reply)
+		require.Error(t, err, "%q: %v", text, reply)
 	}
 }
 
--- a/goldcreststand/internal/edge/truncatedhead_test.go
+++ b/goldcreststand/internal/edge/truncatedhead_test.go
@@ -164,12 +164,7 @@
 	const second = "HTTP/1.1 200 OK\r\nId: other\r\nSig: s\r\nContent-Length: 5\r\n\r\nwrong"
 	const first = "HTTP/1.1 200 OK\r\nId: r1\r\nSig: s\r\nX: y\r\nContent-Length: 3\r\n\r\n"
 	for n := range len(first) {
-		for _, piece := range []int{1, len(first) + len(second)} {
-			c := newCutConn(first[:n]+second, piece, io.EOF)
-			resp, _, err := c.roundTrip(plainDialect{}, &serverRequest{method: http.MethodGet, id: "r1"})
-			require.Error(t, err, "%d bytes of the first head: %v", n, resp)
-			require.True(t, c.unusable)
-		}
+		requireNoResponse(t, first[:n]+second)
 	}
 }
 
@@ -183,12 +178,7 @@
 		"HTTP/1.1 200 OK\r\nX: y\r\nSig: s\r\nTransfer-Encoding: chunked\r\nId: r1\r\n\r\n",
 	} {
 		for n := 1; n < len(success); n++ {
-			for _, piece := range []int{1, len(success) + len(failure)} {
-				c := newCutConn(success[:n]+failure, piece, io.EOF)
-				resp, _, err := c.roundTrip(plainDialect{}, &serverRequest{method: http.MethodGet, id: "r1"})
-				require.Error(t, err, "%d bytes of the success: %v", n, resp)
-				require.True(t, c.unusable)
-			}
+			requireNoResponse(t, success[:n]+failure)
 		}
 	}
 }
--- a/goldcreststand/internal/proxy/earlyreset_test.go
+++ b/goldcreststand/internal/proxy/earlyreset_test.go
@@ -1,7 +1,6 @@
 package proxy_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -17,19 +16,7 @@
 func TestResetDuringUploadDoesNotLookComplete(t *testing.T) {
 	// The upload is larger than the buffers of the operating system.
 	const calls, uploadSize = 10, 8 << 20
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = ln.Close() }()
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go respondAndReset(nc.(*net.TCPConn))
-		}
-	}()
-	s := newInstance(t, localService(server("s0", address(ln))))
+	s := newInstance(t, localService(serverFor(t, respondAndReset)))
 	for _, size := range []int{0, 10, 70 << 10} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			for range calls {
@@ -46,14 +33,14 @@
 
 // respondAndReset responds to the head of a request with a body without a length, whose size is the last part of the path, and
 // resets the connection.
-func respondAndReset(nc *net.TCPConn) {
-	defer func() { _ = nc.Close() }()
-	r, err := http.ReadRequest(bufio.NewReader(nc))
+func respondAndReset(w http.ResponseWriter, r *http.Request) {
+	var size int
+	_, _ = fmt.Sscanf(r.URL.Path, "/x/%d", &size)
+	nc, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
-	var size int
-	_, _ = fmt.Sscanf(r.URL.Path, "/x/%d", &size)
 	_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", size))
-	_ = nc.SetLinger(0)
+	_ = nc.(*net.TCPConn).SetLinger(0)
+	_ = nc.Close()
 }
