report: the test waits until both exchanges run

Cause: the test sent its report while Run of the receiver might not have started. An exchange refuses reports until then, and the sender drops them, since the next report includes their counts.

Change: the test waits until both exchanges reply to a warm query.

--- a/goldcreststand/internal/report/report_test.go
+++ b/goldcreststand/internal/report/report_test.go
@@ -17,6 +17,7 @@
 	"goldcreststand.example/goldcreststand/internal/ctrl"
 	"goldcreststand.example/goldcreststand/internal/peer"
 	"goldcreststand.example/goldcreststand/internal/report"
+	"goldcreststand.example/schema/wire"
 )
 
 type discardLog struct{}
@@ -53,6 +54,9 @@
 		go func() { _ = link.Run(ctx, sock) }()
 		go x.Run(ctx, c)
 	}
+	for _, x := range exchanges {
+		awaitRun(t, x)
+	}
 	want := ctrl.RolloutReport{Sender: "i0", Report: canary.Report{
 		Status:   table.RolloutStatus{Service: "svc", Attempt: 2, Outcome: table.OutcomeReverted, Stage: 1, Reason: "failures"},
 		Counts:   []canary.CallCounts{{Version: "v2", Route: "r", Calls: 5, Failures: 2, Slow: 1}},
@@ -67,6 +71,15 @@
 	<-exchanges[1].Done()
 }
 
+// awaitRun waits until Run has started. An exchange refuses reports before it, and their sender drops them.
+func awaitRun(t *testing.T, x *report.Exchange) {
+	query := wire.FromIncarnations("svc", []health.ServerIncarnation{{Server: "a", Incarnation: 3}})
+	require.Eventually(t, func() bool {
+		_, err := x.Warm(t.Context(), query)
+		return err == nil
+	}, 5*time.Second, time.Millisecond)
+}
+
 func nextEvent(t *testing.T, c control) ctrl.Event {
 	select {
 	case ev := <-c:
