--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -16,10 +16,11 @@
 
 // cases holds the cases by name. A case returns what the rule's check found.
 var cases = map[string]func(s *system) (verdict int, summary string){
-	"era-config":  eraConfig,
-	"slow-upload": slowUpload,
-	"late-copy":   lateCopy,
-	"era-rollout": eraRollout,
+	"era-config":     eraConfig,
+	"slow-upload":    slowUpload,
+	"late-copy":      lateCopy,
+	"era-rollout":    eraRollout,
+	"era-evacuation": eraEvacuation,
 }
 
 func main() {
