--- a/review/standin3/era.go
+++ b/review/standin3/era.go
@@ -28,7 +28,7 @@
 		if i%3 == 2 {
 			zone = "luz-b"
 		}
-		b, err := startBackend(fmt.Sprintf("i-%08x", 0x7f3a91c0+i), service, zone, fmt.Sprintf("127.0.%d.1", 30+i), s.st, beatTime, s.onRun)
+		b, err := startBackend(fmt.Sprintf("i-%08x", 0x7f3a91c0+i), service, zone, s.ip(30+i), s.st, beatTime, s.onRun)
 		if err != nil {
 			s.logf("server: %v", err)
 			return false
--- a/review/standin3/erarollout.go
+++ b/review/standin3/erarollout.go
@@ -148,7 +148,7 @@
 			map[string]any{"service": "inventory", "targetVersion": version, "durationS": rolloutTime.Seconds()}))
 		var newServers []*backend
 		for i, old := range oldServers {
-			b, err := startBackendVersion(fmt.Sprintf("i-%d%07x", n, 0x3a91c0+i), "inventory", old.zone, fmt.Sprintf("127.0.%d.1", 20*n+10+i), version, s.st, beatTime, s.onRun)
+			b, err := startBackendVersion(fmt.Sprintf("i-%d%07x", n, 0x3a91c0+i), "inventory", old.zone, s.ip(20*n+10+i), version, s.st, beatTime, s.onRun)
 			if err != nil {
 				return notRun, err.Error()
 			}
--- a/review/standin3/latecopy.go
+++ b/review/standin3/latecopy.go
@@ -152,7 +152,7 @@
 	s.st.put("config", "main", config(1, rule{"/desk/", "inventory", "unsafe"}))
 	var copies atomic.Int64
 	for i := range servers {
-		b, err := startRawBackend(s, fmt.Sprintf("i-%08x", 0x7f3a91c0+i), []string{"luz-a", "luz-b"}[i%2], fmt.Sprintf("127.0.%d.1", 30+i), &copies, s.trouble && i < faultyServers)
+		b, err := startRawBackend(s, fmt.Sprintf("i-%08x", 0x7f3a91c0+i), []string{"luz-a", "luz-b"}[i%2], s.ip(30+i), &copies, s.trouble && i < faultyServers)
 		if err != nil {
 			return notRun, err.Error()
 		}
--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -73,6 +73,9 @@
 	return s, err
 }
 
+// ip returns one of the loopback addresses of this run. Runs at the same time have others.
+func (s *system) ip(n int) string { return fmt.Sprintf("127.%d.%d.1", 20+os.Getpid()%200, n) }
+
 // logf writes a line to the record.
 func (s *system) logf(format string, args ...any) {
 	s.mu.Lock()
@@ -81,7 +84,7 @@
 }
 
 func (s *system) addMachine(i int, zone string) *machine {
-	ip := fmt.Sprintf("127.0.%d.%d", 10+i, 1)
+	ip := s.ip(10 + i)
 	at := func(p int) string { return fmt.Sprintf("%s:%d", ip, s.ports[p]) }
 	m := &machine{name: fmt.Sprintf("front-%s-%d", zone, i), zone: zone, ip: ip, front: at(0), ready: at(1), lookup: at(3)}
 	s.machines = append(s.machines, m)
--- a/review/standin3/upload.go
+++ b/review/standin3/upload.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	uploadLimit = 20 * time.Second
-	uploadTime  = 8 * time.Second
+	// uploadLimit is the largest time limit on the pages, that of delivery-look on the large site.
+	uploadLimit = 8 * time.Second
+	uploadTime  = 6500 * time.Millisecond
 	uploadSize  = 8000
 )
 
@@ -72,7 +73,7 @@
 			s.logf("client: %s POST /desk/ by %s, sent in %v: %d %q %v", a.id, m.name, d, a.status, a.body, a.err)
 		})
 	}
-	time.Sleep(time.Second)
+	time.Sleep(500 * time.Millisecond)
 	s.logf("operator: the evacuation of luz-a is confirmed at revision %d", s.st.put("evacuations", "luz-a", map[string]any{}))
 	confirmed := time.Now()
 	wg.Wait()
