platform, hub: log the store's era and what is dropped as outdated

Control logs the first update of a later era and each list or batch of another era of which something is dropped; the metric copy has the era. What is compared and dropped is unchanged.

The rest of the change to tests turns revisions into positions.

--- a/core/ident/units.go
+++ b/core/ident/units.go
@@ -15,6 +15,9 @@
 type (
 	// Revision is the number of accepted edits of an object; the larger one is newer.
 	Revision uint64
+	// Era counts the returns of a store to an older copy of its content; the larger one is newer. It is 0 where the store does not
+	// count them.
+	Era uint64
 	// Incarnation identifies one run of an instance or backend server; the larger one is newer.
 	Incarnation uint64
 	// Attempt identifies one version rollout of a service; the larger one is newer.
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -48,8 +48,8 @@
 	Invalid  []InvalidObject
 	// LastValid holds objects whose newest form is invalid, in their last valid form. Only some kinds have them.
 	LastValid []Object[T]
-	// AsOf is the revision of the store after the batch.
-	AsOf ident.Revision
+	// AsOf is the position of the store after the batch. The revisions of the batch's objects are of its era.
+	AsOf Position
 }
 
 // Empty reports whether the batch has no changes.
--- a/goldcreststand/internal/cmd/instance.go
+++ b/goldcreststand/internal/cmd/instance.go
@@ -119,6 +119,7 @@
 	inst.vars.Set("copy", expvar.Func(func() any {
 		f, out := inst.loop.Freshness(), map[string]any{}
 		out["age"], out["watched"], out["silent"] = f.Age.Milliseconds(), f.Watched.Milliseconds(), f.Silent.Milliseconds()
+		out["era"] = f.Era
 		if c := inst.loop.Load().Config; c != nil {
 			out["config"] = c.Version
 		}
--- a/goldcreststand/internal/cmd/kinds.go
+++ b/goldcreststand/internal/cmd/kinds.go
@@ -27,8 +27,8 @@
 
 // objectKind is one kind of object in the store.
 type objectKind interface {
-	changedAt() ident.Revision
-	export(from ident.Revision) (json.RawMessage, ident.Revision, error)
+	changedAt() store.Position
+	export(from store.Position) (json.RawMessage, store.Position, error)
 	decode(raw json.RawMessage) (hub.Event, error)
 	follower(k hub.Kind, p feed.Poster, group *feed.Group, enabled *feed.Switch, clock clockwork.Clock) runner
 }
@@ -40,9 +40,9 @@
 	pollDelay  time.Duration
 }
 
-func (t typedKind[T]) changedAt() ident.Revision { return t.collection.ChangedAt() }
+func (t typedKind[T]) changedAt() store.Position { return t.collection.ChangedAt() }
 
-func (t typedKind[T]) export(from ident.Revision) (json.RawMessage, ident.Revision, error) {
+func (t typedKind[T]) export(from store.Position) (json.RawMessage, store.Position, error) {
 	return t.collection.Export(from)
 }
 
@@ -94,14 +94,14 @@
 	return ks
 }
 
-// ChangedAt returns the revision as of which the objects of a kind last changed.
-func (ks *kinds) ChangedAt(k hub.Kind) ident.Revision { return ks.all[k].changedAt() }
+// ChangedAt returns the position as of which the objects of a kind last changed.
+func (ks *kinds) ChangedAt(k hub.Kind) store.Position { return ks.all[k].changedAt() }
 
 // NextChange returns a channel that is closed when the objects of any kind change.
 func (ks *kinds) NextChange() <-chan struct{} { return ks.changes.NextChange() }
 
-// Export returns the objects of a kind that changed after the revision, in the store's encoding.
-func (ks *kinds) Export(k hub.Kind, from ident.Revision) (json.RawMessage, ident.Revision, error) {
+// Export returns the objects of a kind that changed after the position, in the store's encoding.
+func (ks *kinds) Export(k hub.Kind, from store.Position) (json.RawMessage, store.Position, error) {
 	return ks.all[k].export(from)
 }
 
--- a/goldcreststand/internal/feed/watcher.go
+++ b/goldcreststand/internal/feed/watcher.go
@@ -9,7 +9,6 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/store"
 	"goldcreststand.example/goldcreststand/internal/hub"
 	"goldcreststand.example/lib/guard"
@@ -19,10 +18,10 @@
 type Source[T any] interface {
 	// List returns all current objects of the store.
 	List(ctx context.Context) (store.Batch[T], error)
-	// Watch returns the changes after the revision and waits up to the given time for one. The error has the class
+	// Watch returns the changes after the position and waits up to the given time for one. The error has the class
 	// store.ErrExpired when the store no longer has these changes, and wraps context.DeadlineExceeded when it did not
 	// reply in time.
-	Watch(ctx context.Context, from ident.Revision, wait time.Duration) (store.Batch[T], error)
+	Watch(ctx context.Context, from store.Position, wait time.Duration) (store.Batch[T], error)
 }
 
 // Poster posts events to the control goroutine.
@@ -84,7 +83,7 @@
 
 // watch waits for changes until a watch fails or the context ends. After a failed watch only a new list shows
 // which changes were missed.
-func (w *Watcher[T]) watch(onCtx, ctx context.Context, from ident.Revision) {
+func (w *Watcher[T]) watch(onCtx, ctx context.Context, from store.Position) {
 	changed := true
 	for onCtx.Err() == nil {
 		w.pause(onCtx, w.minInterval)
@@ -103,7 +102,7 @@
 }
 
 // watchOnce makes one watch. When the watch of any kind hangs, those of all kinds end; it then fails with errRestarted.
-func (w *Watcher[T]) watchOnce(ctx context.Context, from ident.Revision, wait time.Duration) (store.Batch[T], error) {
+func (w *Watcher[T]) watchOnce(ctx context.Context, from store.Position, wait time.Duration) (store.Batch[T], error) {
 	watchCtx, stop := w.group.watchContext(ctx)
 	defer stop()
 	b, err := read(func() (store.Batch[T], error) { return w.source.Watch(watchCtx, from, wait) })
--- a/goldcreststand/internal/feed/watcher_test.go
+++ b/goldcreststand/internal/feed/watcher_test.go
@@ -34,7 +34,7 @@
 	return s.next(ctx, &s.lists, "list")
 }
 
-func (s *source) Watch(ctx context.Context, _ ident.Revision, wait time.Duration) (store.Batch[ident.DomainName], error) {
+func (s *source) Watch(ctx context.Context, _ store.Position, wait time.Duration) (store.Batch[ident.DomainName], error) {
 	s.waits = append(s.waits, wait)
 	return s.next(ctx, &s.watches, "watch")
 }
@@ -89,7 +89,7 @@
 }
 
 func batch(as ident.Revision) store.Batch[ident.DomainName] {
-	return store.Batch[ident.DomainName]{AsOf: as}
+	return store.Batch[ident.DomainName]{AsOf: store.Position{Revision: as}}
 }
 
 // Guards against changes that are missed because a watch continues after it failed or its history expired.
@@ -155,7 +155,7 @@
 
 // Guards against a reply of the store that ends the process.
 func TestPanicCountsAsFailedCall(t *testing.T) {
-	events := run(t, &source{lists: []reply{{panics: true}, {batch: store.Batch[ident.DomainName]{AsOf: 3}}}, watches: []reply{{panics: true}}},
+	events := run(t, &source{lists: []reply{{panics: true}, {batch: batch(3)}}, watches: []reply{{panics: true}}},
 		"list", "list", "watch", "list")
 	require.GreaterOrEqual(t, len(events), 3)
 	require.IsType(t, hub.StoreUnavailable{}, events[0])
--- a/goldcreststand/internal/hub/freshness.go
+++ b/goldcreststand/internal/hub/freshness.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/relay"
 )
 
@@ -43,6 +44,8 @@
 	relay.Copy
 	// Silent is the time since the store last replied to the instance itself, or since it started.
 	Silent time.Duration
+	// Era is the latest known era of the store.
+	Era ident.Era
 	// Grace is the remaining time for which servers missing from the list are kept after an outage of the store.
 	Grace time.Duration
 }
@@ -56,7 +59,7 @@
 	}
 	return Freshness{
 		Copy: relay.Copy{Age: age(st.subscription.UpToDate()), Watched: age(st.subscription.Watched())}, Silent: silent,
-		Grace: max(0, st.graceUntil.Sub(st.now)),
+		Era: st.era, Grace: max(0, st.graceUntil.Sub(st.now)),
 	}
 }
 
--- a/goldcreststand/internal/hub/hub_test.go
+++ b/goldcreststand/internal/hub/hub_test.go
@@ -30,10 +30,17 @@
 // harness holds a control state driven in virtual time.
 type harness struct {
 	*state
-	// rev is the store's latest revision.
-	rev ident.Revision
+	// rev is the store's latest revision, and storeEra the era in which it was given out.
+	rev      ident.Revision
+	storeEra ident.Era
 }
 
+// at returns the position of a revision in a store that has no eras.
+func at(rev ident.Revision) store.Position { return store.Position{Revision: rev} }
+
+// at returns the store's position.
+func (h *harness) at() store.Position { return store.Position{Era: h.storeEra, Revision: h.rev} }
+
 // newHarness returns the state of an instance that watches the store.
 func newHarness() *harness {
 	h := newUnjoinedHarness()
@@ -60,7 +67,7 @@
 // join posts a complete list of members.
 func (h *harness) join(ids ...ident.InstanceID) []Action {
 	h.rev++
-	batch := store.Batch[ring.Member]{Complete: true, AsOf: h.rev}
+	batch := store.Batch[ring.Member]{Complete: true, AsOf: h.at()}
 	for _, id := range ids {
 		batch.Objects = append(batch.Objects, store.Object[ring.Member]{Name: string(id), Revision: h.rev, Value: member(id)})
 	}
@@ -91,7 +98,7 @@
 // list posts entries of servers.
 func (h *harness) list(complete bool, entries ...roster.ServiceServer) {
 	h.rev++
-	batch := store.Batch[roster.ServiceServer]{Complete: complete, AsOf: h.rev}
+	batch := store.Batch[roster.ServiceServer]{Complete: complete, AsOf: h.at()}
 	for _, e := range entries {
 		batch.Objects = append(batch.Objects, store.Object[roster.ServiceServer]{Name: string(e.Server.ID), Revision: h.rev, Value: e})
 	}
@@ -101,7 +108,7 @@
 // unlist posts the removal of servers' entries.
 func (h *harness) unlist(names ...string) {
 	h.rev++
-	h.apply(ServersUpdate{store.Batch[roster.ServiceServer]{Removed: names, AsOf: h.rev}})
+	h.apply(ServersUpdate{store.Batch[roster.ServiceServer]{Removed: names, AsOf: h.at()}})
 }
 
 // order posts a rollout order. When begun is set, it has the phase.
@@ -109,7 +116,7 @@
 	h.rev++
 	o := &canary.RolloutOrder{Service: testService, Attempt: attempt, Version: v, Duration: 16 * time.Second, HasPhase: begun, Phase: p}
 	h.apply(OrdersUpdate{store.Batch[*canary.RolloutOrder]{
-		Objects: []store.Object[*canary.RolloutOrder]{{Name: string(testService), Revision: h.rev, Value: o}}, AsOf: h.rev,
+		Objects: []store.Object[*canary.RolloutOrder]{{Name: string(testService), Revision: h.rev, Value: o}}, AsOf: h.at(),
 	}})
 }
 
@@ -264,9 +271,9 @@
 // Guards against a delayed list that reverts newer changes from another instance.
 func TestOlderListIsIgnored(t *testing.T) {
 	h := newHarness()
-	newer := store.Batch[ident.DomainName]{Complete: true, AsOf: 9, Objects: []store.Object[ident.DomainName]{{Name: "d1"}}}
+	newer := store.Batch[ident.DomainName]{Complete: true, AsOf: at(9), Objects: []store.Object[ident.DomainName]{{Name: "d1"}}}
 	h.apply(EvacuationsUpdate{newer})
-	h.apply(EvacuationsUpdate{store.Batch[ident.DomainName]{Complete: true, AsOf: 8}})
+	h.apply(EvacuationsUpdate{store.Batch[ident.DomainName]{Complete: true, AsOf: at(8)}})
 	require.True(t, h.evacuated["d1"])
 }
 
@@ -276,7 +283,7 @@
 	h.list(true, entry("s1", "v1"), entry("s2", "v1"))
 	h.rev++
 	invalid := store.InvalidObject{Name: "s2", Revision: h.rev, Err: store.ErrUnavailable.New("no address")}
-	h.apply(ServersUpdate{store.Batch[roster.ServiceServer]{Invalid: []store.InvalidObject{invalid}, AsOf: h.rev}})
+	h.apply(ServersUpdate{store.Batch[roster.ServiceServer]{Invalid: []store.InvalidObject{invalid}, AsOf: h.at()}})
 	stable, _ := h.pools()
 	require.Equal(t, []ident.ServerID{"s1"}, stable)
 }
@@ -401,7 +408,7 @@
 	require.Empty(t, actionsOf[RegisterMember](h.join("i1", "i2")))
 	h.now = h.now.Add(registerInterval)
 	h.rev++
-	removal := MembersUpdate{store.Batch[ring.Member]{Removed: []string{"i1"}, AsOf: h.rev}}
+	removal := MembersUpdate{store.Batch[ring.Member]{Removed: []string{"i1"}, AsOf: h.at()}}
 	require.Equal(t, registration, actionsOf[RegisterMember](h.apply(removal)))
 	until := h.now.Add(5 * time.Second)
 	require.Equal(t, []Action{DeregisterMember{ID: "i1"}}, h.apply(Shutdown{Until: until}))
@@ -503,7 +510,7 @@
 		}},
 		{name: "order removed", next: func(h *harness) {
 			h.rev++
-			h.apply(OrdersUpdate{store.Batch[*canary.RolloutOrder]{Removed: []string{string(testService)}, AsOf: h.rev}})
+			h.apply(OrdersUpdate{store.Batch[*canary.RolloutOrder]{Removed: []string{string(testService)}, AsOf: h.at()}})
 		}},
 		{name: "new object", next: func(h *harness) { h.order(2, "v3", false, canary.PhaseTrial) }},
 	}
--- a/goldcreststand/internal/hub/loop.go
+++ b/goldcreststand/internal/hub/loop.go
@@ -99,7 +99,7 @@
 func (l *Loop) Freshness() Freshness {
 	s := l.freshness.Load()
 	since := l.clock.Since(s.at)
-	return Freshness{Copy: relay.Copy{Age: s.Age + since, Watched: s.Watched + since}, Silent: s.Silent + since, Grace: max(0, s.Grace-since)}
+	return Freshness{Copy: relay.Copy{Age: s.Age + since, Watched: s.Watched + since}, Silent: s.Silent + since, Era: s.Era, Grace: max(0, s.Grace-since)}
 }
 
 // Usage returns what this instance knows of the duty of reporting usage, or the zero value if it takes no part.
--- a/goldcreststand/internal/hub/loop_test.go
+++ b/goldcreststand/internal/hub/loop_test.go
@@ -71,8 +71,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	go l.Run(ctx)
 	order := store.Object[*canary.RolloutOrder]{Name: "svc", Revision: 1}
-	require.NoError(t, l.Post(ctx, OrdersUpdate{store.Batch[*canary.RolloutOrder]{Complete: true, AsOf: 1, Objects: []store.Object[*canary.RolloutOrder]{order}}}))
-	require.NoError(t, l.Post(ctx, MembersUpdate{store.Batch[ring.Member]{Complete: true, AsOf: 1, Objects: []store.Object[ring.Member]{
+	require.NoError(t, l.Post(ctx, OrdersUpdate{store.Batch[*canary.RolloutOrder]{Complete: true, AsOf: at(1), Objects: []store.Object[*canary.RolloutOrder]{order}}}))
+	require.NoError(t, l.Post(ctx, MembersUpdate{store.Batch[ring.Member]{Complete: true, AsOf: at(1), Objects: []store.Object[ring.Member]{
 		{Name: "i7", Revision: 1, Value: member("i7")},
 	}}}))
 	require.Eventually(t, func() bool { return len(l.Load().Members) == 1 }, time.Second, time.Millisecond)
--- a/goldcreststand/internal/hub/merge.go
+++ b/goldcreststand/internal/hub/merge.go
@@ -9,15 +9,19 @@
 
 // acceptBatch records that a kind was read, and returns the batch without objects for which a newer revision is
 // known: the store and other instances report the same changes. It reports false for a complete list older than
-// the known revision, which happens when another instance reported newer changes while the list was in transit.
+// the known position, which happens when another instance reported newer changes while the list was in transit.
 func acceptBatch[T any](st *state, k Kind, b store.Batch[T]) (store.Batch[T], bool) {
-	if b.Complete && b.AsOf < st.revisions[k] {
+	st.observeEra(k, b.AsOf)
+	if b.Complete && b.AsOf.Revision < st.positions[k].Revision {
+		st.logDropped(k, b.AsOf)
 		return b, false
 	}
 	out := dropOutdated(st, k, b)
-	st.revisions[k] = max(st.revisions[k], b.AsOf)
+	if b.AsOf.Revision > st.positions[k].Revision {
+		st.positions[k] = b.AsOf
+	}
 	if b.Complete {
-		st.listRevisions[k] = b.AsOf
+		st.listPositions[k] = b.AsOf
 	}
 	if !st.loaded[k] {
 		st.loaded[k], st.changed = true, true
@@ -27,16 +31,19 @@
 
 // dropOutdated removes from a batch the objects for which a newer revision is known.
 func dropOutdated[T any](st *state, k Kind, b store.Batch[T]) store.Batch[T] {
-	revisions := st.objectRevisions[k]
-	if revisions == nil || b.Complete {
-		revisions = make(map[string]ident.Revision)
-		st.objectRevisions[k] = revisions
+	positions := st.objectPositions[k]
+	if positions == nil || b.Complete {
+		positions = make(map[string]store.Position)
+		st.objectPositions[k] = positions
 	}
+	dropped := 0
 	newer := func(name string, rev ident.Revision) bool {
-		if !b.Complete && (rev < st.listRevisions[k] || rev < revisions[name]) {
+		at := b.AsOf.WithRevision(rev)
+		if !b.Complete && (at.Revision < st.listPositions[k].Revision || at.Revision < positions[name].Revision) {
+			dropped++
 			return false
 		}
-		revisions[name] = rev
+		positions[name] = at
 		return true
 	}
 	out := store.Batch[T]{Complete: b.Complete, AsOf: b.AsOf, LastValid: b.LastValid}
@@ -46,7 +53,7 @@
 		}
 	}
 	for _, n := range b.Removed {
-		if newer(n, b.AsOf) {
+		if newer(n, b.AsOf.Revision) {
 			out.Removed = append(out.Removed, n)
 		}
 	}
@@ -55,9 +62,33 @@
 			out.Invalid = append(out.Invalid, f)
 		}
 	}
+	if dropped > 0 && b.AsOf.Era != st.positions[k].Era {
+		st.logDropped(k, b.AsOf)
+	}
 	return out
 }
 
+// observeEra logs the first update of a later era than the known one: the store has returned to an older copy of its content.
+func (st *state) observeEra(k Kind, at store.Position) {
+	if at.Era <= st.era {
+		return
+	}
+	known := st.positions[k]
+	if len(st.loaded) > 0 {
+		st.logChange("store returned to an older copy", logrus.Fields{
+			"era": at.Era, "known": st.era, "kind": k.String(), "revision": at.Revision, "before": known.Revision, "source": st.source(),
+		})
+	}
+	st.era = at.Era
+}
+
+// logDropped logs an update of which something is dropped as outdated.
+func (st *state) logDropped(k Kind, at store.Position) {
+	st.logChange("outdated update dropped", logrus.Fields{
+		"kind": k.String(), "position": at.String(), "known": st.positions[k].String(), "source": st.source(),
+	})
+}
+
 // logInvalid logs the objects that could not be decoded. The other objects of the batch are used.
 func (st *state) logInvalid(k Kind, fs []store.InvalidObject) {
 	for _, f := range fs {
--- a/goldcreststand/internal/hub/model_test.go
+++ b/goldcreststand/internal/hub/model_test.go
@@ -69,7 +69,7 @@
 	e.Server.Draining = rapid.Bool().Draw(t, "leaving")
 	m.rev++
 	m.post(store.Batch[roster.ServiceServer]{
-		Objects: []store.Object[roster.ServiceServer]{{Name: string(id), Revision: m.rev, Value: e}}, AsOf: m.rev,
+		Objects: []store.Object[roster.ServiceServer]{{Name: string(id), Revision: m.rev, Value: e}}, AsOf: m.at(),
 	})
 	m.listed[id] = e
 	delete(m.removedAt, id)
@@ -78,7 +78,7 @@
 func (m *storeModel) remove(t *rapid.T) {
 	id := m.drawID(t)
 	m.rev++
-	m.post(store.Batch[roster.ServiceServer]{Removed: []string{string(id)}, AsOf: m.rev})
+	m.post(store.Batch[roster.ServiceServer]{Removed: []string{string(id)}, AsOf: m.at()})
 	m.removeEntry(id)
 }
 
@@ -106,7 +106,7 @@
 // relist posts a complete list of the servers, without those whose entries have expired.
 func (m *storeModel) relist(t *rapid.T) {
 	m.rev++
-	batch := store.Batch[roster.ServiceServer]{Complete: true, AsOf: m.rev}
+	batch := store.Batch[roster.ServiceServer]{Complete: true, AsOf: m.at()}
 	for i := range 8 {
 		id := ident.ServerID("s" + strconv.Itoa(i))
 		e, ok := m.listed[id]
@@ -130,7 +130,7 @@
 	d := rapid.SampledFrom([]ident.DomainName{"d1", "d2"}).Draw(t, "domain")
 	m.evacuatedDomains[d] = !m.evacuatedDomains[d]
 	m.rev++
-	b := store.Batch[ident.DomainName]{AsOf: m.rev}
+	b := store.Batch[ident.DomainName]{AsOf: m.at()}
 	if m.evacuatedDomains[d] {
 		b.Objects = []store.Object[ident.DomainName]{{Name: string(d), Revision: m.rev}}
 	} else {
--- a/goldcreststand/internal/hub/organisations_test.go
+++ b/goldcreststand/internal/hub/organisations_test.go
@@ -26,7 +26,7 @@
 }
 
 func configs(asOf ident.Revision, cs ...*rules.Config) store.Batch[*rules.Config] {
-	b := store.Batch[*rules.Config]{Complete: true, AsOf: asOf}
+	b := store.Batch[*rules.Config]{Complete: true, AsOf: at(asOf)}
 	for _, c := range cs {
 		b.Objects = append(b.Objects, store.Object[*rules.Config]{Name: "main", Revision: asOf, Value: c})
 	}
@@ -59,9 +59,9 @@
 	h.apply(ConfigUpdate{configs(10, configWithKey(t, 5, "k"))})
 	invalid := store.InvalidObject{Name: "main", Revision: 11, Err: errors.New("organisation \"a\": key 1 is empty")}
 	for _, b := range []store.Batch[*rules.Config]{
-		{AsOf: 11, Invalid: []store.InvalidObject{invalid}},
-		{AsOf: 12, Complete: true, Invalid: []store.InvalidObject{invalid}},
-		{AsOf: 13, Removed: []string{"main"}},
+		{AsOf: at(11), Invalid: []store.InvalidObject{invalid}},
+		{AsOf: at(12), Complete: true, Invalid: []store.InvalidObject{invalid}},
+		{AsOf: at(13), Removed: []string{"main"}},
 	} {
 		h.apply(ConfigUpdate{b})
 		require.True(t, h.accepts("k"))
@@ -126,14 +126,14 @@
 		return []store.Object[*rules.Config]{{Name: "main", Revision: 10, Value: c}}
 	}
 	h := newStarting()
-	h.apply(ConfigUpdate{store.Batch[*rules.Config]{AsOf: 12, Complete: true, Invalid: invalid}})
+	h.apply(ConfigUpdate{store.Batch[*rules.Config]{AsOf: at(12), Complete: true, Invalid: invalid}})
 	require.False(t, h.snapshot().Ready)
 	h.apply(PollCompleted{From: peerOf("i2"), Updates: []Event{ConfigUpdate{store.Batch[*rules.Config]{
-		AsOf: 12, LastValid: lastValid(configWithKey(t, 5, "k")),
+		AsOf: at(12), LastValid: lastValid(configWithKey(t, 5, "k")),
 	}}}})
 	require.True(t, h.accepts("k"))
 	h.apply(PollCompleted{From: peerOf("i3"), Updates: []Event{ConfigUpdate{store.Batch[*rules.Config]{
-		AsOf: 12, LastValid: lastValid(configWithKey(t, 4, "revoked")),
+		AsOf: at(12), LastValid: lastValid(configWithKey(t, 4, "revoked")),
 	}}}})
 	require.False(t, h.accepts("revoked"))
 	require.True(t, h.accepts("k"))
@@ -142,11 +142,11 @@
 // Guards against an instance that never asks others for the last valid configuration, or that asks without end.
 func TestLastValidConfigIsAskedFor(t *testing.T) {
 	h := newStarting()
-	h.apply(ConfigUpdate{store.Batch[*rules.Config]{AsOf: 12, Complete: true, Invalid: []store.InvalidObject{{Name: "main", Revision: 12, Err: errors.New("organisation")}}}})
+	h.apply(ConfigUpdate{store.Batch[*rules.Config]{AsOf: at(12), Complete: true, Invalid: []store.InvalidObject{{Name: "main", Revision: 12, Err: errors.New("organisation")}}}})
 	var asked []ident.Revision
 	poll := func(out []Action) {
 		for _, p := range actionsOf[PollPeer](out) {
-			asked = append(asked, p.Known[KindConfig])
+			asked = append(asked, p.Known[KindConfig].Revision)
 		}
 	}
 	poll(h.join("i1", "i2", "i3"))
@@ -158,7 +158,7 @@
 	h.now = h.now.Add(lastValidInterval)
 	poll(h.apply(PollCompleted{From: peerOf("i2")}))
 	require.Equal(t, []ident.Revision{0}, asked)
-	h.apply(ConfigUpdate{store.Batch[*rules.Config]{AsOf: 12, LastValid: configs(10, configWithKey(t, 5, "k")).Objects}})
+	h.apply(ConfigUpdate{store.Batch[*rules.Config]{AsOf: at(12), LastValid: configs(10, configWithKey(t, 5, "k")).Objects}})
 	asked = nil
 	h.now = h.now.Add(lastValidInterval)
 	poll(h.apply(PollCompleted{From: peerOf("i2")}))
--- a/goldcreststand/internal/hub/poll.go
+++ b/goldcreststand/internal/hub/poll.go
@@ -11,6 +11,7 @@
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/relay"
 	"goldcreststand.example/core/ring"
+	"goldcreststand.example/core/store"
 )
 
 const (
@@ -30,10 +31,10 @@
 		Turn  relay.Turn
 	}
 
-	// PollPeer polls another instance for changes after the known revisions and posts PollCompleted.
+	// PollPeer polls another instance for changes after the known positions and posts PollCompleted.
 	PollPeer struct {
 		To    netip.AddrPort
-		Known map[Kind]ident.Revision
+		Known map[Kind]store.Position
 		// Wait is the time for which the other instance may hold the poll open until something changes. The poll
 		// fails after Timeout.
 		Wait, Timeout time.Duration
@@ -202,12 +203,12 @@
 	}
 	if to, ok := st.nextSource(); ok {
 		st.polling = true
-		known := make(map[Kind]ident.Revision)
+		known := make(map[Kind]store.Position)
 		for _, k := range KindValues() {
-			known[k] = st.revisions[k]
+			known[k] = st.positions[k]
 		}
 		if st.asksLastValid() {
-			known[KindConfig] = 0
+			known[KindConfig] = store.Position{}
 		}
 		wait, timeout := st.subscription.PollTimes(st.now)
 		out = append(out, PollPeer{To: to, Known: known, Wait: wait, Timeout: timeout, Watched: st.freshness().Watched})
--- a/goldcreststand/internal/hub/retrybudget_test.go
+++ b/goldcreststand/internal/hub/retrybudget_test.go
@@ -80,7 +80,7 @@
 		delete(f.listed, fleetID(i))
 	}
 	f.rev++
-	batch := store.Batch[ring.Member]{Complete: true, AsOf: f.rev}
+	batch := store.Batch[ring.Member]{Complete: true, AsOf: at(f.rev)}
 	for id := range f.listed {
 		batch.Objects = append(batch.Objects, store.Object[ring.Member]{Name: string(id), Revision: f.rev, Value: member(id)})
 	}
--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -19,6 +19,7 @@
 	"goldcreststand.example/core/route"
 	"goldcreststand.example/core/rules"
 	"goldcreststand.example/core/spread"
+	"goldcreststand.example/core/store"
 )
 
 // Bounds are limits on the sum over all instances.
@@ -127,14 +128,16 @@
 	// replied about a kind.
 	loaded           map[Kind]bool
 	unavailableSince map[Kind]time.Time
-	// revisions holds the store revision up to which each kind is known.
-	revisions map[Kind]ident.Revision
+	// era is the latest known era of the store.
+	era ident.Era
+	// positions holds the position of the store up to which each kind is known.
+	positions map[Kind]store.Position
 	// graceUntil is the time until which servers missing from the list are kept.
 	graceUntil time.Time
-	// listRevisions holds the revision of the last complete list of each kind, and objectRevisions the last
-	// revision of each object.
-	listRevisions   map[Kind]ident.Revision
-	objectRevisions map[Kind]map[string]ident.Revision
+	// listPositions holds the position of the last complete list of each kind, and objectPositions that of the last
+	// change of each object.
+	listPositions   map[Kind]store.Position
+	objectPositions map[Kind]map[string]store.Position
 	// registeredAt, pingedAt, reportedAt, seedPolledAt and deniedAt are the times of the last such actions.
 	registeredAt, pingedAt, reportedAt, seedPolledAt, deniedAt time.Time
 	// lastPinger is the address of the instance that last pinged this one.
@@ -192,8 +195,8 @@
 		self: self, now: now, started: now, log: log,
 		servers: make(map[ident.ServerID]*server), services: make(map[ident.ServiceName]*service),
 		evacuated: make(map[ident.DomainName]bool), sendsToCold: make(map[ident.ServerID]bool), monitor: ring.New(self.ID),
-		covered: make(map[Kind]bool), loaded: make(map[Kind]bool), unavailableSince: make(map[Kind]time.Time), revisions: make(map[Kind]ident.Revision),
-		listRevisions: make(map[Kind]ident.Revision), objectRevisions: make(map[Kind]map[string]ident.Revision),
+		covered: make(map[Kind]bool), loaded: make(map[Kind]bool), unavailableSince: make(map[Kind]time.Time), positions: make(map[Kind]store.Position),
+		listPositions: make(map[Kind]store.Position), objectPositions: make(map[Kind]map[string]store.Position),
 		subscription: relay.NewSubscription(self.Member, now),
 		memberCount:  recent.NewMax(departedMemory, 1),
 	}
--- a/goldcreststand/internal/hub/storeevents.go
+++ b/goldcreststand/internal/hub/storeevents.go
@@ -78,7 +78,7 @@
 		}
 		st.config, st.changed = o.Value, true
 		st.logChange("configuration applied", logrus.Fields{
-			"config": o.Value.Version, "revision": o.Revision, "routes": o.Value.RouteCount(), "services": len(o.Value.Services),
+			"config": o.Value.Version, "era": b.AsOf.Era, "revision": o.Revision, "routes": o.Value.RouteCount(), "services": len(o.Value.Services),
 			"organisations": o.Value.Access.Size(), "source": st.source(), "age": known.Age.Milliseconds(), "silent": known.Silent.Milliseconds(),
 		})
 	}
@@ -103,7 +103,7 @@
 	}
 	if first {
 		// One log line per server would delay the first calls.
-		st.logChange("servers listed", logrus.Fields{"servers": len(b.Objects), "revision": b.AsOf})
+		st.logChange("servers listed", logrus.Fields{"servers": len(b.Objects), "revision": b.AsOf.Revision})
 	}
 	for _, f := range b.Invalid {
 		st.removeServer(ident.ServerID(f.Name), f.Revision)
@@ -111,7 +111,7 @@
 	removed := removedServers(st, b, listed)
 	st.keepOnMassRemoval(len(removed))
 	for _, id := range removed {
-		st.removeServer(id, b.AsOf)
+		st.removeServer(id, b.AsOf.Revision)
 	}
 	return nil
 }
@@ -305,12 +305,12 @@
 	}
 	for d := range evacuated {
 		if !st.evacuated[d] {
-			st.logChange("failure domain out of service", logrus.Fields{"domain": d, "revision": b.AsOf})
+			st.logChange("failure domain out of service", logrus.Fields{"domain": d, "revision": b.AsOf.Revision})
 		}
 	}
 	for d := range st.evacuated {
 		if !evacuated[d] {
-			st.logChange("failure domain back in service", logrus.Fields{"domain": d, "revision": b.AsOf})
+			st.logChange("failure domain back in service", logrus.Fields{"domain": d, "revision": b.AsOf.Revision})
 		}
 	}
 	st.evacuated, st.changed = evacuated, true
@@ -342,7 +342,7 @@
 	}
 	slices.SortFunc(members, func(a, b ring.Member) int { return cmp.Compare(a.ID, b.ID) })
 	if !slices.Equal(members, st.members) {
-		st.logChange("members changed", logrus.Fields{"members": len(members), "before": len(st.members), "revision": b.AsOf})
+		st.logChange("members changed", logrus.Fields{"members": len(members), "before": len(st.members), "revision": b.AsOf.Revision})
 		st.members, st.changed = members, true
 		clear(st.sendsToCold)
 		if st.usage != nil {
--- a/goldcreststand/internal/mesh/excerptcache.go
+++ b/goldcreststand/internal/mesh/excerptcache.go
@@ -5,20 +5,20 @@
 	"maps"
 	"sync"
 
-	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/store"
 	"goldcreststand.example/goldcreststand/internal/hub"
 	"goldcreststand.example/schema/wire"
 )
 
 // Replicas exports and imports the objects of a kind in the store's encoding. It is safe for concurrent use.
 type Replicas interface {
-	// ChangedAt returns the store revision as of which the objects of a kind last changed, or 0 before the first
-	// read.
-	ChangedAt(k hub.Kind) ident.Revision
+	// ChangedAt returns the position of the store as of which the objects of a kind last changed, or zero before the
+	// first read.
+	ChangedAt(k hub.Kind) store.Position
 	// NextChange returns a channel that is closed when any kind changes.
 	NextChange() <-chan struct{}
-	// Export returns the changes after the revision, or all objects, and the revision that the result leads to.
-	Export(k hub.Kind, from ident.Revision) (json.RawMessage, ident.Revision, error)
+	// Export returns the changes after the position, or all objects, and the position that the result leads to.
+	Export(k hub.Kind, from store.Position) (json.RawMessage, store.Position, error)
 	// Import returns the event for an excerpt of another instance, or nil when it is not newer than the local
 	// copy.
 	Import(k hub.Kind, raw json.RawMessage) (hub.Event, error)
@@ -35,29 +35,29 @@
 	compressor wire.Compressor
 
 	mu sync.Mutex
-	// cached holds the excerpts by the revision that they start from.
-	cached map[hub.Kind]map[ident.Revision]cachedExcerpt
+	// cached holds the excerpts by the position that they start from.
+	cached map[hub.Kind]map[store.Position]cachedExcerpt
 }
 
-// cachedExcerpt holds the encoded changes up to a revision.
+// cachedExcerpt holds the encoded changes up to a position.
 type cachedExcerpt struct {
-	to      ident.Revision
+	to      store.Position
 	content wire.Compressed
 }
 
 func newExcerptCache(r Replicas) *excerptCache {
-	return &excerptCache{replicas: r, cached: make(map[hub.Kind]map[ident.Revision]cachedExcerpt)}
+	return &excerptCache{replicas: r, cached: make(map[hub.Kind]map[store.Position]cachedExcerpt)}
 }
 
-// get returns the excerpt after the revision, and whether there are newer changes.
-func (c *excerptCache) get(k hub.Kind, from ident.Revision) (wire.Compressed, bool, error) {
+// get returns the excerpt after the position, and whether there are newer changes.
+func (c *excerptCache) get(k hub.Kind, from store.Position) (wire.Compressed, bool, error) {
 	changed := c.replicas.ChangedAt(k)
-	if changed <= from {
+	if changed.Revision <= from.Revision {
 		return nil, false, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e, ok := c.cached[k][from]; ok && e.to >= changed {
+	if e, ok := c.cached[k][from]; ok && e.to.Revision >= changed.Revision {
 		return e.content, true, nil
 	}
 	raw, to, err := c.replicas.Export(k, from)
@@ -73,11 +73,11 @@
 }
 
 // add caches an excerpt and removes those without the latest change.
-func (c *excerptCache) add(k hub.Kind, from ident.Revision, e cachedExcerpt, changed ident.Revision) {
+func (c *excerptCache) add(k hub.Kind, from store.Position, e cachedExcerpt, changed store.Position) {
 	excerpts := c.cached[k]
-	maps.DeleteFunc(excerpts, func(_ ident.Revision, e cachedExcerpt) bool { return e.to < changed })
+	maps.DeleteFunc(excerpts, func(_ store.Position, e cachedExcerpt) bool { return e.to.Revision < changed.Revision })
 	if excerpts == nil || len(excerpts) >= maxExcerpts {
-		excerpts = make(map[ident.Revision]cachedExcerpt)
+		excerpts = make(map[store.Position]cachedExcerpt)
 		c.cached[k] = excerpts
 	}
 	excerpts[from] = e
--- a/goldcreststand/internal/mesh/mesh_test.go
+++ b/goldcreststand/internal/mesh/mesh_test.go
@@ -35,16 +35,19 @@
 // pollTimeout is the time after which a poll has failed.
 const pollTimeout = 5 * time.Second
 
+// at returns the position of a revision in a store that has no eras.
+func at(rev ident.Revision) store.Position { return store.Position{Revision: rev} }
+
 // fakeReplicas holds one kind at a revision. It imports any excerpt as a list of members.
 type fakeReplicas struct {
 	mu    sync.Mutex
-	known ident.Revision
+	known store.Position
 	next  chan struct{}
 	// exports counts the exports.
 	exports int
 }
 
-func (r *fakeReplicas) ChangedAt(hub.Kind) ident.Revision {
+func (r *fakeReplicas) ChangedAt(hub.Kind) store.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.known
@@ -60,16 +63,16 @@
 func (r *fakeReplicas) advance(to ident.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.known = to
+	r.known = at(to)
 	close(r.next)
 	r.next = make(chan struct{})
 }
 
-func (r *fakeReplicas) Export(_ hub.Kind, from ident.Revision) (json.RawMessage, ident.Revision, error) {
+func (r *fakeReplicas) Export(_ hub.Kind, from store.Position) (json.RawMessage, store.Position, error) {
 	r.mu.Lock()
 	r.exports++
 	r.mu.Unlock()
-	return json.RawMessage(strconv.FormatUint(uint64(from), 10)), r.ChangedAt(hub.KindMembers), nil
+	return json.RawMessage(strconv.FormatUint(uint64(from.Revision), 10)), r.ChangedAt(hub.KindMembers), nil
 }
 
 func (r *fakeReplicas) Import(k hub.Kind, raw json.RawMessage) (hub.Event, error) {
@@ -77,7 +80,7 @@
 		return nil, errors.New("other kind")
 	}
 	from, err := strconv.ParseUint(string(raw), 10, 64)
-	return hub.MembersUpdate{Batch: store.Batch[ring.Member]{AsOf: ident.Revision(from)}}, err
+	return hub.MembersUpdate{Batch: store.Batch[ring.Member]{AsOf: at(ident.Revision(from))}}, err
 }
 
 // instance is one side of the calls.
@@ -123,7 +126,7 @@
 	require.NoError(t, err)
 	i := &instance{member: ring.Member{ID: id, Peer: netip.MustParseAddrPort(sock.Addr().String())}, events: make(chan hub.Event, 128)}
 	p := peer.New(clockwork.NewRealClock(), noLog{})
-	i.replicas = &fakeReplicas{known: known, next: make(chan struct{})}
+	i.replicas = &fakeReplicas{known: at(known), next: make(chan struct{})}
 	i.mesh = mesh.New(i.member, p, i, i, i.replicas, clockwork.NewRealClock(), noLog{})
 	i.mesh.Register(p)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -183,9 +186,9 @@
 // of their source.
 func TestPoll(t *testing.T) {
 	a, b := newInstance(t, "a", 0), newInstance(t, "b", 9)
-	a.mesh.Poll(hub.PollPeer{To: b.member.Peer, Known: map[hub.Kind]ident.Revision{hub.KindConfig: 9, hub.KindServers: 10, hub.KindMembers: 8}, Timeout: pollTimeout})
+	a.mesh.Poll(hub.PollPeer{To: b.member.Peer, Known: map[hub.Kind]store.Position{hub.KindConfig: at(9), hub.KindServers: at(10), hub.KindMembers: at(8)}, Timeout: pollTimeout})
 	require.Equal(t, hub.PollCompleted{
-		From: b.member.Peer, Freshness: b.Freshness(), Updates: []hub.Event{hub.MembersUpdate{Batch: store.Batch[ring.Member]{AsOf: 8}}},
+		From: b.member.Peer, Freshness: b.Freshness(), Updates: []hub.Event{hub.MembersUpdate{Batch: store.Batch[ring.Member]{AsOf: at(8)}}},
 	}, next[hub.PollCompleted](t, a))
 }
 
@@ -193,7 +196,7 @@
 // change.
 func TestPollWaitsForChanges(t *testing.T) {
 	a, b := newInstance(t, "a", 0), newInstance(t, "b", 3)
-	poll := hub.PollPeer{To: b.member.Peer, Known: map[hub.Kind]ident.Revision{hub.KindMembers: 3}, Wait: 50 * time.Millisecond, Timeout: pollTimeout}
+	poll := hub.PollPeer{To: b.member.Peer, Known: map[hub.Kind]store.Position{hub.KindMembers: at(3)}, Wait: 50 * time.Millisecond, Timeout: pollTimeout}
 	a.mesh.Poll(poll)
 	require.Empty(t, next[hub.PollCompleted](t, a).Updates)
 	poll.Wait = 500 * time.Millisecond
@@ -205,7 +208,7 @@
 // Guards against a poll whose result is not posted, after which the control goroutine would not poll again.
 func TestPollReportsFailures(t *testing.T) {
 	a, b := newInstance(t, "a", 0), newInstance(t, "b", 9)
-	a.mesh.Poll(hub.PollPeer{To: b.member.Peer, Known: map[hub.Kind]ident.Revision{hub.KindConfig: 8}, Timeout: pollTimeout})
+	a.mesh.Poll(hub.PollPeer{To: b.member.Peer, Known: map[hub.Kind]store.Position{hub.KindConfig: at(8)}, Timeout: pollTimeout})
 	require.ErrorContains(t, next[hub.PollCompleted](t, a).Err, "other kind")
 	nobody := netip.MustParseAddrPort("127.0.0.1:1")
 	for range 100 {
@@ -220,7 +223,7 @@
 // against an event for each poll of the others.
 func TestPollOffersTheCopy(t *testing.T) {
 	a, b := newInstance(t, "a", 0), newInstance(t, "b", 9)
-	known := map[hub.Kind]ident.Revision{hub.KindMembers: 9}
+	known := map[hub.Kind]store.Position{hub.KindMembers: at(9)}
 	for _, age := range []time.Duration{time.Minute, 200 * time.Millisecond} {
 		a.mesh.Poll(hub.PollPeer{To: b.member.Peer, Known: known, Timeout: pollTimeout, Watched: age})
 		require.NoError(t, next[hub.PollCompleted](t, a).Err)
@@ -236,8 +239,8 @@
 	polls := func() {
 		for range 3 {
 			for from := range ident.Revision(3) {
-				a.mesh.Poll(hub.PollPeer{To: b.member.Peer, Known: map[hub.Kind]ident.Revision{hub.KindMembers: from}, Timeout: pollTimeout})
-				require.Equal(t, []hub.Event{hub.MembersUpdate{Batch: store.Batch[ring.Member]{AsOf: from}}}, next[hub.PollCompleted](t, a).Updates)
+				a.mesh.Poll(hub.PollPeer{To: b.member.Peer, Known: map[hub.Kind]store.Position{hub.KindMembers: at(from)}, Timeout: pollTimeout})
+				require.Equal(t, []hub.Event{hub.MembersUpdate{Batch: store.Batch[ring.Member]{AsOf: at(from)}}}, next[hub.PollCompleted](t, a).Updates)
 			}
 		}
 	}
--- a/goldcreststand/internal/mesh/poll.go
+++ b/goldcreststand/internal/mesh/poll.go
@@ -35,7 +35,7 @@
 	out := hub.PollCompleted{From: a.To}
 	req := &wire.FollowRequest{Sender: m.self.ID, Wait: int(a.Wait.Milliseconds()), Watched: watchedField(a.Watched)}
 	for k, known := range a.Known {
-		req.Wants = append(req.Wants, wire.Want{Kind: k.String(), Known: known})
+		req.Wants = append(req.Wants, wire.WantFrom(k.String(), known))
 	}
 	var reply wire.FollowReply
 	if out.Err = m.link.Call(ctx, a.To, methodFollow, req, &reply); out.Err != nil {
@@ -74,7 +74,7 @@
 	return ev, Error.Wrap(err)
 }
 
-// handlePoll replies with the changes after the sender's revisions, as soon as there are any, or without changes
+// handlePoll replies with the changes after the sender's positions, as soon as there are any, or without changes
 // when the sender's wait time is over.
 func (m *Mesh) handlePoll(ctx context.Context, r *wire.FollowRequest) (*wire.FollowReply, error) {
 	if r.Watched != nil {
@@ -102,7 +102,7 @@
 	}
 }
 
-// newerExcerpts returns the changes after the sender's revisions.
+// newerExcerpts returns the changes after the sender's positions.
 func (m *Mesh) newerExcerpts(r *wire.FollowRequest) ([]wire.Excerpt, error) {
 	out := []wire.Excerpt{}
 	for _, w := range r.Wants {
@@ -110,7 +110,7 @@
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
-		content, newer, err := m.excerpts.get(k, w.Known)
+		content, newer, err := m.excerpts.get(k, w.Position())
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -2306,6 +2306,10 @@
 // Want is a requested kind of objects, with the store revision that the sender
 // has.
 type Want struct {
+	// Era of the store in which the sender has the revision; 0 where the store has
+	// none.
+	Era *ident.Era `json:"era,omitempty,omitzero"`
+
 	// Kind of objects.
 	Kind string `json:"kind"`
 
