canary: the only version left is not rolled back at its deadline

The new processes read the phase whole, found the deadline past and wrote rolled_back 0.2 s after their start, although the old servers had stopped; the platform then drained the last servers of the service.

Cause: the decision at the deadline did not look at what a rollback leaves. Decide now gets the number of servers of other versions that calls can go to. At the deadline a version that has been the only one for 3 s, more than expired entries need to come back, is completed; evidence against it still rolls it back. Control decides nothing before it has read the servers.

That nobody writes the lost end again before the restart is a fault of its own.

--- a/core/canary/coordinatedrollout.go
+++ b/core/canary/coordinatedrollout.go
@@ -43,6 +43,9 @@
 	// service's calls, as a part of the calls that they handle at full speed: bursts raise the calls by
 	// half.
 	maxUtilization = 0.65
+	// minAloneTime is the time for which no servers of other versions are listed before the new version counts as the only one. Entries
+	// that expired during an outage of the store come back within 2 s of its return.
+	minAloneTime = 3 * time.Second
 	// lowTrafficShare is the new version's share on routes with few calls, to detect a version that fails
 	// only on such a route.
 	lowTrafficShare ident.Share = 300
@@ -74,8 +77,9 @@
 	// withheld says that this instance knows of a bad version whose rollback is not in the store yet.
 	withheld bool
 	// orderedAt is when the order became known, phaseStart when the phase did, and lastOverload when the
-	// new version's servers last had too little capacity.
-	orderedAt, phaseStart, lastOverload time.Time
+	// new version's servers last had too little capacity. aloneSince is the time since when no servers of other versions are
+	// known, or zero.
+	orderedAt, phaseStart, lastOverload, aloneSince time.Time
 	// latencies are kept between orders, to have a threshold at the start of a rollout.
 	latencies map[ident.RouteName]*latencyQuantile
 	counter   *counter
@@ -110,6 +114,7 @@
 
 func (t *CoordinatedRollout) reset(now time.Time) {
 	t.orderedAt, t.phaseStart, t.lastOverload, t.phase, t.withheld = now, now, time.Time{}, PhaseTrial, false
+	t.aloneSince = time.Time{}
 	m := table.RolloutSpec{From: labelStable, To: labelNew}
 	t.counter, t.evidence = newCounter(m), newEvidence(m)
 	t.counter.latencies = t.latencies
@@ -238,9 +243,18 @@
 	Bad bool
 }
 
-// Decide returns the phase that the rollout should have. servers is the number of the new version's servers that accept
-// calls, and utilization their mean utilization, as a part of the calls that they handle at full speed.
-func (t *CoordinatedRollout) Decide(servers int, utilization float64, now time.Time) Decision {
+// Servers describes the servers of the service that accept calls.
+type Servers struct {
+	// New is the number of the new version's servers, and Utilization their mean utilization, as a part of the calls that they
+	// handle at full speed.
+	New         int
+	Utilization float64
+	// Others is the number of servers of other versions.
+	Others int
+}
+
+// Decide returns the phase that the rollout should have.
+func (t *CoordinatedRollout) Decide(s Servers, now time.Time) Decision {
 	if !t.Active() {
 		return Decision{Phase: t.phase}
 	}
@@ -248,18 +262,43 @@
 	if bad, why := t.newIsWorse(); bad {
 		return Decision{Phase: PhaseReverted, Reason: why, Bad: true}
 	}
+	t.observeOthers(s, now)
 	if elapsed := t.elapsedFraction(now); elapsed >= rollbackFraction {
-		// The old servers may have stopped by an earlier write that was not answered, so that the version keeps its calls.
-		return Decision{Phase: PhaseReverted, Reason: fmt.Sprintf(
-			"deadline is near in phase %s after %d calls, with %.2f of the servers' capacity used", t.phase, t.newVersionCalls(), utilization,
-		)}
+		return t.decideAtDeadline(s, now)
 	}
-	if servers == 0 || t.phase != PhaseTrial && utilization > maxUtilization {
+	if s.New == 0 || t.phase != PhaseTrial && s.Utilization > maxUtilization {
 		t.lastOverload = now
 	}
 	return t.advance(now)
 }
 
+// observeOthers notes whether the new version's servers are the only ones.
+func (t *CoordinatedRollout) observeOthers(s Servers, now time.Time) {
+	switch {
+	case s.Others > 0 || s.New == 0:
+		t.aloneSince = time.Time{}
+	case t.aloneSince.IsZero():
+		t.aloneSince = now
+	}
+}
+
+// decideAtDeadline returns the phase of a rollout that has not ended at its deadline. Where the new version's servers are the
+// only ones, a rollback would refuse all calls, and the platform would stop these servers too: the old ones have most likely
+// stopped because the rollout was completed, and the store has lost that.
+func (t *CoordinatedRollout) decideAtDeadline(s Servers, now time.Time) Decision {
+	switch {
+	case t.aloneSince.IsZero():
+		// The old servers may have stopped by an earlier write that was not answered, so that the version keeps its calls.
+		return Decision{Phase: PhaseReverted, Reason: fmt.Sprintf(
+			"deadline is near in phase %s after %d calls, with %.2f of the servers' capacity used", t.phase, t.newVersionCalls(), s.Utilization,
+		)}
+	case now.Sub(t.aloneSince) < minAloneTime:
+		return Decision{Phase: t.phase}
+	default:
+		return Decision{Phase: PhaseDone, Reason: "deadline is near and no servers of other versions are left"}
+	}
+}
+
 // elapsedFraction returns the part of the time to the deadline that has passed.
 func (t *CoordinatedRollout) elapsedFraction(now time.Time) float64 {
 	return float64(now.Sub(t.orderedAt)) / float64(t.order.Duration)
--- a/core/canary/coordinatedrollout_test.go
+++ b/core/canary/coordinatedrollout_test.go
@@ -57,7 +57,7 @@
 		for i, t := range w.rollouts {
 			decider.MergeCounts(ident.InstanceID(rune('a'+i)), t.Report())
 		}
-		phase := decider.Decide(18, 0.4, w.now).Phase
+		phase := decider.Decide(canary.Servers{New: 18, Utilization: 0.4, Others: 18}, w.now).Phase
 		if phase != decider.Phase() {
 			next := *order
 			next.HasPhase, next.Phase = true, phase
@@ -159,11 +159,11 @@
 		if dips(i) {
 			use = 0.5
 		}
-		phase := rollout.Decide(12, use, w.now).Phase
+		phase := rollout.Decide(canary.Servers{New: 12, Utilization: use, Others: 12}, w.now).Phase
 		require.Equal(t, canary.PhaseWhole, phase, "step %d", i)
 	}
 	w.now = w.now.Add(2 * time.Second)
-	d := rollout.Decide(12, 0.9, w.now)
+	d := rollout.Decide(canary.Servers{New: 12, Utilization: 0.9, Others: 12}, w.now)
 	require.Equal(t, canary.PhaseReverted, d.Phase)
 	require.Contains(t, d.Reason, "capacity")
 	require.False(t, d.Bad, "a version without enough capacity is withheld before the store holds the rollback")
--- a/goldcreststand/internal/hub/tick.go
+++ b/goldcreststand/internal/hub/tick.go
@@ -234,8 +234,11 @@
 // decide requests the write of the rollout's next phase, if it changes. The phase takes effect once it is read
 // back from the store, except that a bad version stops receiving calls at once.
 func (st *state) decide(s *service) []Action {
+	if !st.loaded[KindServers] {
+		return nil
+	}
 	o := *s.rollout.Order()
-	d := s.rollout.Decide(st.trialServerCount(o), st.trialUtilization(o), st.now)
+	d := s.rollout.Decide(canary.Servers{New: st.trialServerCount(o), Utilization: st.trialUtilization(o), Others: st.otherServerCount(s)}, st.now)
 	if d.Bad {
 		s.rollout.WithholdCalls()
 	}
@@ -266,6 +269,19 @@
 	return n
 }
 
+// otherServerCount returns the number of servers that calls can go to if the service's rollout is rolled back. Those in a failure
+// domain that is out of service count, since it may come back.
+func (st *state) otherServerCount(s *service) int {
+	o, n := s.rollout.Order(), 0
+	for _, srv := range st.servers {
+		e := srv.entry
+		if e.Service == o.Service && e.Server.Version != o.Version && !e.Server.Draining && !slices.Contains(s.rolledBack, e.Server.Version) {
+			n++
+		}
+	}
+	return n
+}
+
 // trialUtilization returns the mean utilization of the new version's servers.
 func (st *state) trialUtilization(o canary.RolloutOrder) float64 {
 	sum, n := 0.0, 0
