hub: order updates by era and revision

Cause: control compared bare revisions. After a return the store gives them out again, so that each list and change was behind the known 1/139 to 1/160 and was dropped as outdated ('outdated update dropped', kind config, position 2/151, known 1/154).

All comparisons in control are now of store.Position, the era before the revision. A reply of an earlier era than the known one is dropped and does not make the copy count as up to date. The first sign of a later era, also in the reply to a check, lists all kinds again, since a watch from before the return may wait for good; until then the copy of a kind counts as out of date. A configuration that is in force stays when the copy has an older version, as before: versions only grow.

--- a/goldcreststand/internal/feed/checkqueue.go
+++ b/goldcreststand/internal/feed/checkqueue.go
@@ -5,6 +5,7 @@
 
 	"github.com/zeebo/errs"
 
+	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/relay"
 	"goldcreststand.example/goldcreststand/internal/hub"
 	"goldcreststand.example/goldcreststand/internal/worker"
@@ -19,7 +20,8 @@
 
 // Checker checks whether the store replies.
 type Checker interface {
-	Check(ctx context.Context) error
+	// Check returns the era of the store's reply.
+	Check(ctx context.Context) (ident.Era, error)
 }
 
 // CheckQueue carries out the checks of the store that the control goroutine requests.
@@ -45,7 +47,8 @@
 	ok := q.pool.TrySubmit(func(ctx context.Context) {
 		checkCtx, cancel := context.WithTimeout(ctx, relay.CheckTimeout)
 		defer cancel()
-		_ = q.poster.Post(ctx, hub.StoreChecked{At: a.At, Err: q.checker.Check(checkCtx)})
+		era, err := q.checker.Check(checkCtx)
+		_ = q.poster.Post(ctx, hub.StoreChecked{At: a.At, Era: era, Err: err})
 	})
 	if !ok {
 		go func() { _ = q.poster.Post(context.Background(), hub.StoreChecked{At: a.At, Err: errChecksBusy}) }()
--- a/goldcreststand/internal/feed/checkqueue_test.go
+++ b/goldcreststand/internal/feed/checkqueue_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/relay"
 	"goldcreststand.example/goldcreststand/internal/feed"
 	"goldcreststand.example/goldcreststand/internal/hub"
@@ -15,18 +16,19 @@
 // checker records the deadlines of the checks and returns an error.
 type checker struct {
 	deadlines chan time.Time
+	era       ident.Era
 	err       error
 }
 
-func (c checker) Check(ctx context.Context) error {
+func (c checker) Check(ctx context.Context) (ident.Era, error) {
 	at, _ := ctx.Deadline()
 	c.deadlines <- at
-	return c.err
+	return c.era, c.err
 }
 
 // Guards against a check that never ends because the store is silent, and against a result that control does not learn.
 func TestChecksEndAndArePosted(t *testing.T) {
-	c := checker{deadlines: make(chan time.Time, 1), err: context.DeadlineExceeded}
+	c := checker{deadlines: make(chan time.Time, 1), era: 3, err: context.DeadlineExceeded}
 	p := poster{events: make(chan hub.Event, 1)}
 	q := feed.NewCheckQueue(c, p)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -34,7 +36,7 @@
 	before := time.Now()
 	q.Check(hub.CheckStore{At: before})
 	require.WithinRange(t, <-c.deadlines, before, time.Now().Add(relay.CheckTimeout))
-	require.Equal(t, hub.StoreChecked{At: before, Err: context.DeadlineExceeded}, <-p.events)
+	require.Equal(t, hub.StoreChecked{At: before, Era: 3, Err: context.DeadlineExceeded}, <-p.events)
 	cancel()
 	<-q.Done()
 }
--- a/goldcreststand/internal/hub/freshness.go
+++ b/goldcreststand/internal/hub/freshness.go
@@ -7,6 +7,7 @@
 
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/relay"
+	"goldcreststand.example/core/store"
 )
 
 const (
@@ -22,9 +23,10 @@
 func (CheckStore) action() {}
 
 type (
-	// StoreChecked reports the result of the check that was requested at the given time.
+	// StoreChecked reports the result of the check that was requested at the given time, and the era that the store replied with.
 	StoreChecked struct {
 		At  time.Time
+		Era ident.Era
 		Err error
 	}
 
@@ -68,6 +70,7 @@
 	interrupted := st.subscription.HandleCheck(e.At, e.Err == nil, st.now)
 	if e.Err == nil {
 		st.repliedAt = st.now
+		st.observeEra(e.Era)
 	}
 	watches := st.subscription.WatchesStore(st.now)
 	// The count of failed checks also ends when the copy is up to date again, without a reply.
@@ -80,11 +83,8 @@
 			st.keepExpired(age)
 		}
 	}
-	var out []Action
-	if interrupted && watches {
-		out = append(out, RestartWatches{})
-	}
-	return append(out, st.chooseSources()...)
+	st.relist = st.relist || interrupted
+	return st.chooseSources()
 }
 
 // logContact logs that the store no longer replies to checks, or does so again.
@@ -103,9 +103,11 @@
 	return nil
 }
 
-// recordStoreReply records that the store has replied about a kind, unless the update came from another instance.
-func (st *state) recordStoreReply(k Kind) {
-	if st.importing() {
+// recordUpdate records that the store has replied about a kind, unless the update came from another instance. A reply of an earlier
+// era than the known one does not make the copy up to date.
+func (st *state) recordUpdate(k Kind, at store.Position) {
+	st.observeEra(at.Era)
+	if st.importing() || at.Era < st.era {
 		return
 	}
 	st.repliedAt = st.now
@@ -116,6 +118,21 @@
 	st.subscription.SetCovered(len(st.covered) == len(KindValues()))
 }
 
+// observeEra notes an era of the store. A later one than the known era means that the store has returned to an older copy of its
+// content: the copy of each kind is out of date until that kind is read in the later era.
+func (st *state) observeEra(e ident.Era) {
+	if e <= st.era {
+		return
+	}
+	if len(st.loaded) > 0 {
+		st.logChange("store returned to an older copy", logrus.Fields{"era": e, "before": st.era, "source": st.source()})
+		st.relist = true
+	}
+	st.era = e
+	clear(st.covered)
+	st.subscription.SetCovered(false)
+}
+
 // uncover records that no watch covers the kind.
 func (st *state) uncover(k Kind) {
 	delete(st.covered, k)
--- a/goldcreststand/internal/hub/merge.go
+++ b/goldcreststand/internal/hub/merge.go
@@ -11,15 +11,12 @@
 // known: the store and other instances report the same changes. It reports false for a complete list older than
 // the known position, which happens when another instance reported newer changes while the list was in transit.
 func acceptBatch[T any](st *state, k Kind, b store.Batch[T]) (store.Batch[T], bool) {
-	st.observeEra(k, b.AsOf)
-	if b.Complete && b.AsOf.Revision < st.positions[k].Revision {
+	if b.Complete && b.AsOf.Before(st.positions[k]) {
 		st.logDropped(k, b.AsOf)
 		return b, false
 	}
 	out := dropOutdated(st, k, b)
-	if b.AsOf.Revision > st.positions[k].Revision {
-		st.positions[k] = b.AsOf
-	}
+	st.positions[k] = store.Later(st.positions[k], b.AsOf)
 	if b.Complete {
 		st.listPositions[k] = b.AsOf
 	}
@@ -39,7 +36,7 @@
 	dropped := 0
 	newer := func(name string, rev ident.Revision) bool {
 		at := b.AsOf.WithRevision(rev)
-		if !b.Complete && (at.Revision < st.listPositions[k].Revision || at.Revision < positions[name].Revision) {
+		if !b.Complete && (at.Before(st.listPositions[k]) || at.Before(positions[name])) {
 			dropped++
 			return false
 		}
@@ -68,20 +65,6 @@
 	return out
 }
 
-// observeEra logs the first update of a later era than the known one: the store has returned to an older copy of its content.
-func (st *state) observeEra(k Kind, at store.Position) {
-	if at.Era <= st.era {
-		return
-	}
-	known := st.positions[k]
-	if len(st.loaded) > 0 {
-		st.logChange("store returned to an older copy", logrus.Fields{
-			"era": at.Era, "known": st.era, "kind": k.String(), "revision": at.Revision, "before": known.Revision, "source": st.source(),
-		})
-	}
-	st.era = at.Era
-}
-
 // logDropped logs an update of which something is dropped as outdated.
 func (st *state) logDropped(k Kind, at store.Position) {
 	st.logChange("outdated update dropped", logrus.Fields{
--- a/goldcreststand/internal/hub/poll.go
+++ b/goldcreststand/internal/hub/poll.go
@@ -195,6 +195,7 @@
 		st.turn = turn
 		out = append(out, WatchKinds{Kinds: kinds, Turn: turn})
 	}
+	out = append(out, st.restartWatches(watches)...)
 	if st.subscription.StartCheck(st.now) {
 		out = append(out, CheckStore{At: st.now})
 	}
@@ -216,6 +217,16 @@
 	return out
 }
 
+// restartWatches ends the watches when all kinds must be listed again.
+func (st *state) restartWatches(watches bool) []Action {
+	wanted := st.relist && watches
+	st.relist = false
+	if !wanted {
+		return nil
+	}
+	return []Action{RestartWatches{}}
+}
+
 // asksLastValid reports whether the next poll asks for the whole configuration, and not for changes alone. It is asked
 // again while there is none.
 func (st *state) asksLastValid() bool {
--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -128,8 +128,9 @@
 	// replied about a kind.
 	loaded           map[Kind]bool
 	unavailableSince map[Kind]time.Time
-	// era is the latest known era of the store.
-	era ident.Era
+	// era is the latest known era of the store, and relist is set when all kinds must be listed again.
+	era    ident.Era
+	relist bool
 	// positions holds the position of the store up to which each kind is known.
 	positions map[Kind]store.Position
 	// graceUntil is the time until which servers missing from the list are kept.
--- a/goldcreststand/internal/hub/storeevents.go
+++ b/goldcreststand/internal/hub/storeevents.go
@@ -62,7 +62,7 @@
 
 func (e ConfigUpdate) apply(st *state) []Action {
 	known := st.freshness()
-	st.recordStoreReply(KindConfig)
+	st.recordUpdate(KindConfig, e.AsOf)
 	b, ok := acceptBatch(st, KindConfig, e.Batch)
 	if !ok {
 		return nil
@@ -88,7 +88,7 @@
 
 func (e ServersUpdate) apply(st *state) []Action {
 	first := !st.loaded[KindServers]
-	st.recordStoreReply(KindServers)
+	st.recordUpdate(KindServers, e.AsOf)
 	b, ok := acceptBatch(st, KindServers, e.Batch)
 	if !ok {
 		return nil
@@ -194,7 +194,7 @@
 }
 
 func (e OrdersUpdate) apply(st *state) []Action {
-	st.recordStoreReply(KindOrders)
+	st.recordUpdate(KindOrders, e.AsOf)
 	b, ok := acceptBatch(st, KindOrders, e.Batch)
 	if !ok {
 		return nil
@@ -283,7 +283,7 @@
 }
 
 func (e EvacuationsUpdate) apply(st *state) []Action {
-	st.recordStoreReply(KindEvacuations)
+	st.recordUpdate(KindEvacuations, e.AsOf)
 	b, ok := acceptBatch(st, KindEvacuations, e.Batch)
 	if !ok {
 		return nil
@@ -318,7 +318,7 @@
 }
 
 func (e MembersUpdate) apply(st *state) []Action {
-	st.recordStoreReply(KindMembers)
+	st.recordUpdate(KindMembers, e.AsOf)
 	b, ok := acceptBatch(st, KindMembers, e.Batch)
 	if !ok {
 		return nil
