platform, mesh: order objects and excerpts by era and revision

Cause: an instance keeps each kind for others in a collection of its own, which compared bare revisions. Behind a revision of the lost time it neither kept the objects of a later list nor notified anybody, and a poll with a known revision of that time was answered without changes.

Collections, the cache of excerpts and the polls compare store.Position; a poll and an excerpt name the era (optional fields, absent in a store without eras). Changes since a position of an earlier era are not known, so that such a poll gets the whole kind.

--- a/goldcreststand/internal/cmd/silentstore_test.go
+++ b/goldcreststand/internal/cmd/silentstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -28,6 +29,7 @@
 		<-r.Context().Done()
 		return
 	}
+	maps.Copy(w.Header(), out.Header())
 	w.WriteHeader(out.Code)
 	_, _ = w.Write(out.Body.Bytes())
 }
@@ -38,6 +40,19 @@
 func TestConfigArrivesWithoutWatchers(t *testing.T) {
 	const bound = 5 * time.Second
 	store, _ := newTestStore(t)
+	stores, sites := startFleet(t, store)
+	stores["n1"].silent.Store(true)
+	stores["n2"].silent.Store(true)
+	putOrganisations(store, 2, `[]`)
+	start := time.Now()
+	for name := range sites {
+		require.Eventually(t, func() bool { return sites[name].inst.loop.Load().Config.Version == 2 }, bound, 10*time.Millisecond, "%s", name)
+	}
+	t.Logf("in force after %v", time.Since(start))
+}
+
+// startFleet starts three instances, of which n1 and n2 watch the store and n3 polls them, and returns their stores and sites.
+func startFleet(t *testing.T, store *testStore) (map[string]*silentStore, map[string]*testSite) {
 	store.put("servers", "s1", fmt.Sprintf(`{"service":"one","address":%q,"zone":"z","version":"v1","slots":4,"state":"ready"}`, recordingServer(t, new(transcript))))
 	putOrganisations(store, 1, `[]`)
 	stores, sites := make(map[string]*silentStore), make(map[string]*testSite)
@@ -54,7 +69,6 @@
 		s.awaitReady()
 		sites[name] = s
 	}
-	// Once all are listed, n1 and n2 watch the store and n3 polls them.
 	require.Eventually(t, func() bool {
 		for name, s := range sites {
 			polls := s.inst.loop.Freshness().Watched > time.Second
@@ -64,12 +78,5 @@
 		}
 		return true
 	}, patience, 10*time.Millisecond)
-	stores["n1"].silent.Store(true)
-	stores["n2"].silent.Store(true)
-	putOrganisations(store, 2, `[]`)
-	start := time.Now()
-	for name := range sites {
-		require.Eventually(t, func() bool { return sites[name].inst.loop.Load().Config.Version == 2 }, bound, 10*time.Millisecond, "%s", name)
-	}
-	t.Logf("in force after %v", time.Since(start))
+	return stores, sites
 }
--- a/goldcreststand/internal/cmd/store_test.go
+++ b/goldcreststand/internal/cmd/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"path"
@@ -16,6 +17,7 @@
 type testStore struct {
 	mu      sync.Mutex
 	rev     int
+	era     int
 	objects map[string]map[string]json.RawMessage
 	// events holds the changes of each kind with their revisions.
 	events  map[string][]testEvent
@@ -35,6 +37,38 @@
 	return s, srv.Listener.Addr().String()
 }
 
+// returnTo sets the store back to an older copy of its content.
+func (s *testStore) returnTo(rev int, objects map[string]map[string]json.RawMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev, s.objects, s.events = rev, cloneObjects(objects), make(map[string][]testEvent)
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// content returns the store's revision and a copy of its objects.
+func (s *testStore) content() (int, map[string]map[string]json.RawMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rev, cloneObjects(s.objects)
+}
+
+func cloneObjects(objects map[string]map[string]json.RawMessage) map[string]map[string]json.RawMessage {
+	out := make(map[string]map[string]json.RawMessage)
+	for kind, named := range objects {
+		out[kind] = maps.Clone(named)
+	}
+	return out
+}
+
+// setEra sets the field that names the era. It is locked.
+func (s *testStore) setEra(w http.ResponseWriter) {
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	}
+}
+
 // handler returns the handler of the store's calls.
 func (s *testStore) handler() http.Handler {
 	mux := http.NewServeMux()
@@ -50,6 +84,7 @@
 func (s *testStore) readOne(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	raw, ok := s.objects[r.PathValue("kind")][r.PathValue("name")]
 	if !ok {
 		http.NotFound(w, r)
@@ -94,6 +129,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		items := []json.RawMessage{}
+		s.setEra(w)
 		for _, raw := range s.objects[kind] {
 			items = append(items, raw)
 		}
@@ -102,8 +138,17 @@
 	}
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	era := s.era
+	s.setEra(w)
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		if from > s.rev || s.era != era {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		events, rev, changed := []json.RawMessage{}, s.rev, s.changed
 		for _, e := range s.events[kind] {
 			if e.rev > from {
--- a/goldcreststand/internal/mesh/excerptcache.go
+++ b/goldcreststand/internal/mesh/excerptcache.go
@@ -52,12 +52,12 @@
 // get returns the excerpt after the position, and whether there are newer changes.
 func (c *excerptCache) get(k hub.Kind, from store.Position) (wire.Compressed, bool, error) {
 	changed := c.replicas.ChangedAt(k)
-	if changed.Revision <= from.Revision {
+	if !from.Before(changed) {
 		return nil, false, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e, ok := c.cached[k][from]; ok && e.to.Revision >= changed.Revision {
+	if e, ok := c.cached[k][from]; ok && !e.to.Before(changed) {
 		return e.content, true, nil
 	}
 	raw, to, err := c.replicas.Export(k, from)
@@ -75,7 +75,7 @@
 // add caches an excerpt and removes those without the latest change.
 func (c *excerptCache) add(k hub.Kind, from store.Position, e cachedExcerpt, changed store.Position) {
 	excerpts := c.cached[k]
-	maps.DeleteFunc(excerpts, func(_ store.Position, e cachedExcerpt) bool { return e.to.Revision < changed.Revision })
+	maps.DeleteFunc(excerpts, func(_ store.Position, e cachedExcerpt) bool { return e.to.Before(changed) })
 	if excerpts == nil || len(excerpts) >= maxExcerpts {
 		excerpts = make(map[store.Position]cachedExcerpt)
 		c.cached[k] = excerpts
--- a/goldcreststand/internal/mesh/mesh_test.go
+++ b/goldcreststand/internal/mesh/mesh_test.go
@@ -250,3 +250,16 @@
 	polls()
 	require.Equal(t, 6, b.replicas.exports)
 }
+
+// Guards against changes that an instance does not pass on, because the sender of the poll knows a larger revision from before the store's
+// return to an older copy.
+func TestPollAcrossReturnOfStore(t *testing.T) {
+	a, b := newInstance(t, "a", 0), newInstance(t, "b", 0)
+	b.replicas.known = store.Position{Era: 2, Revision: 8}
+	poll := hub.PollPeer{To: b.member.Peer, Timeout: pollTimeout, Known: map[hub.Kind]store.Position{hub.KindMembers: {Era: 1, Revision: 9}}}
+	a.mesh.Poll(poll)
+	require.Len(t, next[hub.PollCompleted](t, a).Updates, 1)
+	poll.Known[hub.KindMembers] = store.Position{Era: 2, Revision: 8}
+	a.mesh.Poll(poll)
+	require.Empty(t, next[hub.PollCompleted](t, a).Updates)
+}
