hub: the end of a rollout that the store has lost is written again

Cause: only the phase of a rollout that can still change is written. An end counts as final once it was read from the store, and the store can lose it. The deciding instance now writes an end that it knows and the store lacks, the two next in placement order 1 s and 2 s later if it is still missing: the first may have started since. No other instance writes. The same holds for a rollback.

On the same path: a phase is written only when the orders were read in the store's present era. The revision on whose condition it is written may have been given out again for another state.

--- a/core/canary/coordinatedrollout.go
+++ b/core/canary/coordinatedrollout.go
@@ -146,6 +146,11 @@
 	return t.phase
 }
 
+// LostEnd returns the end of the rollout if the store held it and has lost it since.
+func (t *CoordinatedRollout) LostEnd() (Phase, bool) {
+	return t.phase, t.order != nil && t.phase.Ended() && (!t.order.HasPhase || !t.order.Phase.Ended())
+}
+
 // Active reports whether there is a rollout that can still change.
 func (t *CoordinatedRollout) Active() bool { return t.order != nil && !t.phase.Ended() }
 
--- a/goldcreststand/internal/hub/hub_test.go
+++ b/goldcreststand/internal/hub/hub_test.go
@@ -50,9 +50,12 @@
 }
 
 // newUnjoinedHarness returns the state of an instance that has not read the list of members yet.
-func newUnjoinedHarness() *harness {
+func newUnjoinedHarness() *harness { return newHarnessOf("i1") }
+
+// newHarnessOf returns the same for the instance.
+func newHarnessOf(id ident.InstanceID) *harness {
 	self := Self{
-		Member: member("i1"),
+		Member: member(id),
 		Bounds: Bounds{RetryShare: 200, RetryExtra: 60, RetryWindow: 10 * time.Second, CheckRate: 60},
 	}
 	h := &harness{state: newState(self, time.Unix(1e6, 0), noLog{})}
--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -189,6 +189,9 @@
 	rolledBack []ident.VersionName
 	// writingProgress is set while a write of the rollout's progress is in progress.
 	writingProgress bool
+	// endLostAt is the time from which on the store is known to have lost the rollout's end, or zero, and endWrittenAt that of the
+	// last write of that end.
+	endLostAt, endWrittenAt time.Time
 }
 
 func newState(self Self, now time.Time, log Log) *state {
--- a/goldcreststand/internal/hub/tick.go
+++ b/goldcreststand/internal/hub/tick.go
@@ -187,7 +187,7 @@
 		return nil
 	}
 	st.reportedAt = st.now
-	var out []Action
+	out := st.restoreEnds()
 	for n, s := range st.services {
 		if !s.rollout.Active() {
 			continue
@@ -242,15 +242,27 @@
 	if d.Bad {
 		s.rollout.WithholdCalls()
 	}
-	if s.writingProgress || o.HasPhase && d.Phase == o.Phase {
+	if !st.mayWritePhase(s) || o.HasPhase && d.Phase == o.Phase {
 		return nil
 	}
 	st.logChange("rollout phase decided", logrus.Fields{
 		"service": o.Service, "version": o.Version, "phase": d.Phase.String(), "reason": d.Reason, "age": s.rollout.Age(st.now).Milliseconds(),
 	})
+	return []Action{st.writePhase(s, d.Phase)}
+}
+
+// mayWritePhase reports whether a phase of the service's rollout can be written now. The revision on whose condition it is written must be
+// of the store's present era: one of an earlier era may name another state.
+func (st *state) mayWritePhase(s *service) bool {
+	return !s.writingProgress && st.positions[KindOrders].Era == st.era
+}
+
+// writePhase returns the write of a phase of the service's rollout.
+func (st *state) writePhase(s *service, p canary.Phase) Action {
+	o := *s.rollout.Order()
+	o.Phase, o.RolledBack = p, slices.Clone(s.rolledBack)
 	s.writingProgress = true
-	o.Phase, o.RolledBack = d.Phase, slices.Clone(s.rolledBack)
-	return []Action{WriteProgress{Order: o, Age: s.rollout.Age(st.now)}}
+	return WriteProgress{Order: o, Age: s.rollout.Age(st.now)}
 }
 
 // onTrial reports whether the server runs the ordered version and is not draining.
