hub: an evacuation outlasts the store's return to an older copy

Cause: what a complete list lacks counted as taken back, also where the store has lost it. Control keeps such an evacuation in force until the store reports a change of the object, for at most 30 s: one that the operator took back in the lost time may never be mentioned again.

hub.TestEvacuationOutlastsReturnOfStore failed before (all its cases, in the check directly after the return).

--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -118,7 +118,9 @@
 	servers   map[ident.ServerID]*server
 	services  map[ident.ServiceName]*service
 	evacuated map[ident.DomainName]bool
-	members   []ring.Member
+	// lostEvacuations holds the evacuations that the store has lost by its return to an older copy.
+	lostEvacuations lost[ident.DomainName]
+	members         []ring.Member
 	// memberCount is the largest number of members of the last departedMemory.
 	memberCount *recent.Extreme[int]
 	// sendsToCold reports for each server whether this instance sends to it while it is cold.
@@ -198,7 +200,7 @@
 	return &state{
 		self: self, now: now, started: now, log: log,
 		servers: make(map[ident.ServerID]*server), services: make(map[ident.ServiceName]*service),
-		evacuated: make(map[ident.DomainName]bool), sendsToCold: make(map[ident.ServerID]bool), monitor: ring.New(self.ID),
+		evacuated: make(map[ident.DomainName]bool), lostEvacuations: make(lost[ident.DomainName]), sendsToCold: make(map[ident.ServerID]bool), monitor: ring.New(self.ID),
 		covered: make(map[Kind]bool), loaded: make(map[Kind]bool), unavailableSince: make(map[Kind]time.Time), positions: make(map[Kind]store.Position),
 		listPositions: make(map[Kind]store.Position), objectPositions: make(map[Kind]map[string]store.Position),
 		subscription: relay.NewSubscription(self.Member, now),
--- a/goldcreststand/internal/hub/storeevents.go
+++ b/goldcreststand/internal/hub/storeevents.go
@@ -283,38 +283,70 @@
 }
 
 func (e EvacuationsUpdate) apply(st *state) []Action {
+	returned := st.returned(KindEvacuations, e.AsOf)
 	st.recordUpdate(KindEvacuations, e.AsOf)
 	b, ok := acceptBatch(st, KindEvacuations, e.Batch)
 	if !ok {
 		return nil
 	}
-	evacuated := make(map[ident.DomainName]bool)
-	if !b.Complete {
+	if returned {
 		for d := range st.evacuated {
-			evacuated[d] = true
+			st.lostEvacuations.hold(d, st.now)
 		}
 	}
+	release(st.lostEvacuations, b)
+	if returned {
+		for d := range st.lostEvacuations {
+			st.logChange("store has lost an evacuation, which stays in force", logrus.Fields{"domain": d, "era": b.AsOf.Era})
+		}
+	}
+	evacuated := make(map[ident.DomainName]bool)
+	if !b.Complete {
+		maps.Copy(evacuated, st.evacuated)
+	}
 	for _, o := range b.Objects {
 		evacuated[ident.DomainName(o.Name)] = true
 	}
 	for _, n := range b.Removed {
 		delete(evacuated, ident.DomainName(n))
 	}
+	for d := range st.lostEvacuations {
+		evacuated[d] = true
+	}
+	st.setEvacuated(evacuated, b.AsOf)
+	return nil
+}
+
+// setEvacuated sets the failure domains that are out of service.
+func (st *state) setEvacuated(evacuated map[ident.DomainName]bool, at store.Position) {
 	if maps.Equal(evacuated, st.evacuated) {
-		return nil
+		return
 	}
 	for d := range evacuated {
 		if !st.evacuated[d] {
-			st.logChange("failure domain out of service", logrus.Fields{"domain": d, "revision": b.AsOf.Revision})
+			st.logChange("failure domain out of service", logrus.Fields{"domain": d, "revision": at.Revision})
 		}
 	}
 	for d := range st.evacuated {
 		if !evacuated[d] {
-			st.logChange("failure domain back in service", logrus.Fields{"domain": d, "revision": b.AsOf.Revision})
+			st.logChange("failure domain back in service", logrus.Fields{"domain": d, "revision": at.Revision})
 		}
 	}
 	st.evacuated, st.changed = evacuated, true
-	return nil
+}
+
+// endLostEvacuations puts failure domains back in service whose evacuation the operator has not written again after the store's return.
+func (st *state) endLostEvacuations() {
+	ended := st.lostEvacuations.expire(st.now)
+	if len(ended) == 0 {
+		return
+	}
+	evacuated := maps.Clone(st.evacuated)
+	for _, d := range ended {
+		st.logChange("lost evacuation was not written again", logrus.Fields{"domain": d, "waited": reaffirmTime.Milliseconds()})
+		delete(evacuated, d)
+	}
+	st.setEvacuated(evacuated, st.positions[KindEvacuations])
 }
 
 func (e MembersUpdate) apply(st *state) []Action {
