hub: a server that left stays out of use after the store's return

A machine that has acknowledged a leave is bound by it also while the store is in disturbance (DRAIN).

Cause: an entry of the store replaced what was known of its server, whatever the store had lost. Control remembers removed servers for a minute, and holds such a server out of use until its entry changes after that list, it has another incarnation, or 30 s have passed. Where most servers would be held because they had been removed, none is: their entries have most likely expired although they run.

--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -116,8 +116,12 @@
 	// repliedAt is the time of the store's last reply to this instance.
 	repliedAt time.Time
 	servers   map[ident.ServerID]*server
-	services  map[ident.ServiceName]*service
-	evacuated map[ident.DomainName]bool
+	// removedServers holds the servers that were removed within removedMemory, and lostLeaves those of which the store has lost that
+	// they left.
+	removedServers map[ident.ServerID]removedServer
+	lostLeaves     lost[ident.ServerID]
+	services       map[ident.ServiceName]*service
+	evacuated      map[ident.DomainName]bool
 	// lostEvacuations holds the evacuations that the store has lost by its return to an older copy.
 	lostEvacuations lost[ident.DomainName]
 	members         []ring.Member
@@ -200,7 +204,8 @@
 	return &state{
 		self: self, now: now, started: now, log: log,
 		servers: make(map[ident.ServerID]*server), services: make(map[ident.ServiceName]*service),
-		evacuated: make(map[ident.DomainName]bool), lostEvacuations: make(lost[ident.DomainName]), sendsToCold: make(map[ident.ServerID]bool), monitor: ring.New(self.ID),
+		evacuated: make(map[ident.DomainName]bool), lostEvacuations: make(lost[ident.DomainName]),
+		removedServers: make(map[ident.ServerID]removedServer), lostLeaves: make(lost[ident.ServerID]), sendsToCold: make(map[ident.ServerID]bool), monitor: ring.New(self.ID),
 		covered: make(map[Kind]bool), loaded: make(map[Kind]bool), unavailableSince: make(map[Kind]time.Time), positions: make(map[Kind]store.Position),
 		listPositions: make(map[Kind]store.Position), objectPositions: make(map[Kind]map[string]store.Position),
 		subscription: relay.NewSubscription(self.Member, now),
--- a/goldcreststand/internal/hub/storeevents.go
+++ b/goldcreststand/internal/hub/storeevents.go
@@ -87,16 +87,23 @@
 }
 
 func (e ServersUpdate) apply(st *state) []Action {
-	first := !st.loaded[KindServers]
+	first, returned := !st.loaded[KindServers], st.returned(KindServers, e.AsOf)
 	st.recordUpdate(KindServers, e.AsOf)
 	b, ok := acceptBatch(st, KindServers, e.Batch)
 	if !ok {
 		return nil
 	}
 	st.logInvalid(KindServers, b.Invalid)
+	releaseChanged(st.lostLeaves, b)
+	if returned {
+		st.holdLeaves(b)
+	}
 	listed := make(map[ident.ServerID]bool, len(b.Objects))
 	for _, o := range b.Objects {
 		listed[o.Value.Server.ID] = true
+		if _, left := st.lostLeaves[o.Value.Server.ID]; left {
+			o.Value.Server.Draining = true
+		}
 		if st.addServer(o.Value) && !first {
 			st.logListed(o.Value, o.Revision)
 		}
@@ -172,6 +179,7 @@
 	if !ok || !s.removeAt.IsZero() {
 		return
 	}
+	st.removedServers[id] = removedServer{incarnation: s.entry.Server.Incarnation, at: st.now}
 	s.removeAt = st.now
 	if st.now.Before(st.graceUntil) {
 		s.removeAt = st.graceUntil
@@ -289,17 +297,7 @@
 	if !ok {
 		return nil
 	}
-	if returned {
-		for d := range st.evacuated {
-			st.lostEvacuations.hold(d, st.now)
-		}
-	}
-	release(st.lostEvacuations, b)
-	if returned {
-		for d := range st.lostEvacuations {
-			st.logChange("store has lost an evacuation, which stays in force", logrus.Fields{"domain": d, "era": b.AsOf.Era})
-		}
-	}
+	releaseChanged(st.lostEvacuations, b)
 	evacuated := make(map[ident.DomainName]bool)
 	if !b.Complete {
 		maps.Copy(evacuated, st.evacuated)
@@ -310,6 +308,14 @@
 	for _, n := range b.Removed {
 		delete(evacuated, ident.DomainName(n))
 	}
+	if returned {
+		for d := range st.evacuated {
+			if !evacuated[d] {
+				st.lostEvacuations.hold(d, b.AsOf, st.now)
+				st.logChange("store has lost an evacuation, which stays in force", logrus.Fields{"domain": d, "era": b.AsOf.Era})
+			}
+		}
+	}
 	for d := range st.lostEvacuations {
 		evacuated[d] = true
 	}
@@ -335,20 +341,6 @@
 	st.evacuated, st.changed = evacuated, true
 }
 
-// endLostEvacuations puts failure domains back in service whose evacuation the operator has not written again after the store's return.
-func (st *state) endLostEvacuations() {
-	ended := st.lostEvacuations.expire(st.now)
-	if len(ended) == 0 {
-		return
-	}
-	evacuated := maps.Clone(st.evacuated)
-	for _, d := range ended {
-		st.logChange("lost evacuation was not written again", logrus.Fields{"domain": d, "waited": reaffirmTime.Milliseconds()})
-		delete(evacuated, d)
-	}
-	st.setEvacuated(evacuated, st.positions[KindEvacuations])
-}
-
 func (e MembersUpdate) apply(st *state) []Action {
 	st.recordUpdate(KindMembers, e.AsOf)
 	b, ok := acceptBatch(st, KindMembers, e.Batch)
--- a/goldcreststand/internal/hub/storereturn.go
+++ b/goldcreststand/internal/hub/storereturn.go
@@ -3,37 +3,63 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/roster"
 	"goldcreststand.example/core/store"
 )
 
 // A store that returns to an older copy has lost what it had acknowledged since. The operator and the backend servers write their part
 // again. Until then an instance goes on with what it knows to have been acknowledged.
 
-// reaffirmTime is the time after the store's return within which the operator and the servers have written again what it lost.
-const reaffirmTime = 30 * time.Second
+const (
+	// reaffirmTime is the time after the store's return within which the operator and the servers have written again what it lost.
+	reaffirmTime = 30 * time.Second
+	// removedMemory is the time for which removed servers are remembered. The copy to which the store returns is some seconds old.
+	removedMemory = time.Minute
+)
+
+// lost holds the names of objects of which the store has lost the acknowledged state. That state stays in force until a later change of
+// the object, or for reaffirmTime.
+type lost[N ~string] map[N]lostState
+
+type lostState struct {
+	// at is the position of the list that shows the loss.
+	at    store.Position
+	until time.Time
+}
 
-// lost holds the names of what a list lacked, or had in an earlier state, after the store's return, with the time until which the
-// acknowledged state stays in force. A later change of an object ends that for it.
-type lost[N ~string] map[N]time.Time
+// hold keeps the acknowledged state of an object in force, since the list at the position does not have it.
+func (l lost[N]) hold(name N, at store.Position, now time.Time) {
+	l[name] = lostState{at: at, until: now.Add(reaffirmTime)}
+}
 
-// hold keeps the acknowledged state of the object in force.
-func (l lost[N]) hold(name N, now time.Time) { l[name] = now.Add(reaffirmTime) }
+// release ends that for an object that changed as of the position, if that is after the list.
+func (l lost[N]) release(name N, at store.Position) {
+	if s, ok := l[name]; ok && s.at.Before(at) {
+		delete(l, name)
+	}
+}
 
-// release ends that for the objects that the batch has.
-func release[N ~string, T any](l lost[N], b store.Batch[T]) {
+// releaseChanged ends that for the objects that changed after the list, according to the batch.
+func releaseChanged[N ~string, T any](l lost[N], b store.Batch[T]) {
 	for _, o := range b.Objects {
-		delete(l, N(o.Name))
+		l.release(N(o.Name), b.AsOf.WithRevision(o.Revision))
+	}
+	for _, f := range b.Invalid {
+		l.release(N(f.Name), b.AsOf.WithRevision(f.Revision))
 	}
 	for _, n := range b.Removed {
-		delete(l, N(n))
+		l.release(N(n), b.AsOf)
 	}
 }
 
 // expire returns the names whose time is over, and forgets them.
 func (l lost[N]) expire(now time.Time) []N {
 	var out []N
-	for name, until := range l {
-		if !now.Before(until) {
+	for name, s := range l {
+		if !now.Before(s.until) {
 			out = append(out, name)
 			delete(l, name)
 		}
@@ -45,3 +71,71 @@
 func (st *state) returned(k Kind, at store.Position) bool {
 	return st.loaded[k] && st.positions[k].Era < at.Era
 }
+
+// removedServer is what remains of a server that was removed.
+type removedServer struct {
+	incarnation ident.Incarnation
+	at          time.Time
+}
+
+// holdLeaves keeps servers out of use that leave or were removed, and are listed as ready after the store's return.
+func (st *state) holdLeaves(b store.Batch[roster.ServiceServer]) {
+	var back []ident.ServerID
+	for _, o := range b.Objects {
+		e := o.Value.Server
+		if e.Draining {
+			continue
+		}
+		if s, ok := st.servers[e.ID]; ok && s.removeAt.IsZero() && s.entry.Server.Incarnation == e.Incarnation {
+			if s.entry.Server.Draining {
+				st.holdLeave(e.ID, b.AsOf)
+			}
+		} else if r, ok := st.removedServers[e.ID]; ok && r.incarnation == e.Incarnation {
+			back = append(back, e.ID)
+		}
+	}
+	if len(back) >= minMassRemoval && 2*len(back) >= len(b.Objects) {
+		// Their entries have most likely expired although they run.
+		return
+	}
+	for _, id := range back {
+		st.holdLeave(id, b.AsOf)
+	}
+}
+
+func (st *state) holdLeave(id ident.ServerID, at store.Position) {
+	st.lostLeaves.hold(id, at, st.now)
+	st.logChange("store has lost that a server left, which stays out of use", logrus.Fields{"server": id, "era": at.Era, "revision": at.Revision})
+}
+
+// endLostLeaves uses servers again that are listed as ready for long after the store's return.
+func (st *state) endLostLeaves() {
+	for _, id := range st.lostLeaves.expire(st.now) {
+		if s, ok := st.servers[id]; ok {
+			s.entry.Server.Draining, st.changed = false, true
+			st.logChange("server is still listed as ready after the store's return", logrus.Fields{"server": id, "waited": reaffirmTime.Milliseconds()})
+		}
+	}
+	for id, r := range st.removedServers {
+		if st.now.Sub(r.at) >= removedMemory {
+			delete(st.removedServers, id)
+		}
+	}
+}
+
+// endLostEvacuations puts failure domains back in service whose evacuation the operator has not written again after the store's return.
+func (st *state) endLostEvacuations() {
+	ended := st.lostEvacuations.expire(st.now)
+	if len(ended) == 0 {
+		return
+	}
+	evacuated := make(map[ident.DomainName]bool)
+	for d := range st.evacuated {
+		evacuated[d] = true
+	}
+	for _, d := range ended {
+		st.logChange("lost evacuation was not written again", logrus.Fields{"domain": d, "waited": reaffirmTime.Milliseconds()})
+		delete(evacuated, d)
+	}
+	st.setEvacuated(evacuated, st.positions[KindEvacuations])
+}
--- a/goldcreststand/internal/hub/tick.go
+++ b/goldcreststand/internal/hub/tick.go
@@ -115,6 +115,7 @@
 		st.monitor.HandleResume(st.now)
 	}
 	st.deleteRemovedServers()
+	st.endLostLeaves()
 	st.endLostEvacuations()
 	st.checkOrderWaits()
 	st.confirmWithoutStore()
