hub: servers of the lost time are kept until they are listed again

Found on the same paths: a server that was listed within the time that the store lost is missing from the first list after the return, and was removed at once unless the store had been away for 1 s or more; in a drill it is away for a moment. Calls were refused although the server ran, until it had written its entry again.

Cause: a list without an entry counted as a removal. After a return missing servers are now kept for 1.9 s, as after an outage in which entries expire; what is still missing then is gone, within the 2 s of DRAIN.

--- a/goldcreststand/internal/hub/storeevents.go
+++ b/goldcreststand/internal/hub/storeevents.go
@@ -97,6 +97,7 @@
 	releaseChanged(st.lostLeaves, b)
 	if returned {
 		st.holdLeaves(b)
+		st.keepMissing()
 	}
 	listed := make(map[ident.ServerID]bool, len(b.Objects))
 	for _, o := range b.Objects {
@@ -406,9 +407,12 @@
 	return nil
 }
 
+// keepMissing keeps servers that are missing from the list until they have had the time to write their entries again.
+func (st *state) keepMissing() { st.graceUntil = st.now.Add(expiryGrace) }
+
 // keepExpired keeps servers that are missing from the list for a while after an outage in which their entries may have expired.
 func (st *state) keepExpired(outage time.Duration) {
 	if outage >= expiryOutage {
-		st.graceUntil = st.now.Add(expiryGrace)
+		st.keepMissing()
 	}
 }
