hub: members known to be dead or alive outlast the store's return

Members that had been found dead within the lost time were named in lookups again for 2.5 s and more, until their silence was noticed anew. Members that had started within it were dropped until they had registered again: shared limits and placement changed twice, and an instance that did not find itself in the list stopped watching.

Cause: as for servers, what the copy has or lacks counted as news. memberList keeps the list of the store apart from what is known beyond it. A member that was removed in the last minute stays out until it writes its entry, for at most 30 s, and the first instance in placement order removes its entry again; one that runs finds its entry missing and registers.

hub.TestDeadMemberStaysRemovedAfterReturnOfStore and TestMembersOfLostTimeAreKeptAfterReturnOfStore failed before.

--- a/goldcreststand/internal/hub/state.go
+++ b/goldcreststand/internal/hub/state.go
@@ -125,6 +125,7 @@
 	// lostEvacuations holds the evacuations that the store has lost by its return to an older copy.
 	lostEvacuations lost[ident.DomainName]
 	members         []ring.Member
+	memberList      *memberList
 	// memberCount is the largest number of members of the last departedMemory.
 	memberCount *recent.Extreme[int]
 	// sendsToCold reports for each server whether this instance sends to it while it is cold.
@@ -209,7 +210,7 @@
 		covered: make(map[Kind]bool), loaded: make(map[Kind]bool), unavailableSince: make(map[Kind]time.Time), positions: make(map[Kind]store.Position),
 		listPositions: make(map[Kind]store.Position), objectPositions: make(map[Kind]map[string]store.Position),
 		subscription: relay.NewSubscription(self.Member, now),
-		memberCount:  recent.NewMax(departedMemory, 1),
+		memberCount:  recent.NewMax(departedMemory, 1), memberList: newMemberList(),
 	}
 }
 
--- a/goldcreststand/internal/hub/storeevents.go
+++ b/goldcreststand/internal/hub/storeevents.go
@@ -1,7 +1,6 @@
 package hub
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -312,7 +311,7 @@
 	if returned {
 		for d := range st.evacuated {
 			if !evacuated[d] {
-				st.lostEvacuations.hold(d, b.AsOf, st.now)
+				st.lostEvacuations.hold(d, b.AsOf, st.now.Add(reaffirmTime))
 				st.logChange("store has lost an evacuation, which stays in force", logrus.Fields{"domain": d, "era": b.AsOf.Era})
 			}
 		}
@@ -342,44 +341,6 @@
 	st.evacuated, st.changed = evacuated, true
 }
 
-func (e MembersUpdate) apply(st *state) []Action {
-	st.recordUpdate(KindMembers, e.AsOf)
-	b, ok := acceptBatch(st, KindMembers, e.Batch)
-	if !ok {
-		return nil
-	}
-	st.logInvalid(KindMembers, b.Invalid)
-	var members []ring.Member
-	replaced := make(map[ident.InstanceID]bool)
-	for _, o := range b.Objects {
-		replaced[o.Value.ID] = true
-		members = append(members, o.Value)
-	}
-	for _, n := range b.Removed {
-		replaced[ident.InstanceID(n)] = true
-	}
-	if !b.Complete {
-		for _, m := range st.members {
-			if !replaced[m.ID] {
-				members = append(members, m)
-			}
-		}
-	}
-	slices.SortFunc(members, func(a, b ring.Member) int { return cmp.Compare(a.ID, b.ID) })
-	if !slices.Equal(members, st.members) {
-		st.logChange("members changed", logrus.Fields{"members": len(members), "before": len(st.members), "revision": b.AsOf.Revision})
-		st.members, st.changed = members, true
-		clear(st.sendsToCold)
-		if st.usage != nil {
-			st.usage.candidates = nil
-		}
-	}
-	st.countMembers()
-	st.limitRetries()
-	st.subscription.SetMembers(members, st.now)
-	return append(st.register(), st.chooseSources()...)
-}
-
 func (e StoreUnavailable) apply(st *state) []Action {
 	if !st.watched[e.Kind] {
 		// The watch failed while this instance was stopping it.
--- a/goldcreststand/internal/hub/storereturn.go
+++ b/goldcreststand/internal/hub/storereturn.go
@@ -16,12 +16,13 @@
 const (
 	// reaffirmTime is the time after the store's return within which the operator and the servers have written again what it lost.
 	reaffirmTime = 30 * time.Second
-	// removedMemory is the time for which removed servers are remembered. The copy to which the store returns is some seconds old.
+	// removedMemory is the time for which removed servers and members are remembered. The copy to which the store returns is some
+	// seconds old.
 	removedMemory = time.Minute
 )
 
 // lost holds the names of objects of which the store has lost the acknowledged state. That state stays in force until a later change of
-// the object, or for reaffirmTime.
+// the object, or for a limited time.
 type lost[N ~string] map[N]lostState
 
 type lostState struct {
@@ -30,9 +31,9 @@
 	until time.Time
 }
 
-// hold keeps the acknowledged state of an object in force, since the list at the position does not have it.
-func (l lost[N]) hold(name N, at store.Position, now time.Time) {
-	l[name] = lostState{at: at, until: now.Add(reaffirmTime)}
+// hold keeps the acknowledged state of an object in force until the time, since the list at the position does not have it.
+func (l lost[N]) hold(name N, at store.Position, until time.Time) {
+	l[name] = lostState{at: at, until: until}
 }
 
 // release ends that for an object that changed as of the position, if that is after the list.
@@ -104,7 +105,7 @@
 }
 
 func (st *state) holdLeave(id ident.ServerID, at store.Position) {
-	st.lostLeaves.hold(id, at, st.now)
+	st.lostLeaves.hold(id, at, st.now.Add(reaffirmTime))
 	st.logChange("store has lost that a server left, which stays out of use", logrus.Fields{"server": id, "era": at.Era, "revision": at.Revision})
 }
 
--- a/goldcreststand/internal/hub/tick.go
+++ b/goldcreststand/internal/hub/tick.go
@@ -122,7 +122,7 @@
 	st.countMembers()
 	st.limitRetries()
 	st.logDeniedRetries()
-	out := st.register()
+	out := append(st.expireMembers(), st.register()...)
 	out = append(out, st.monitorMembers()...)
 	out = append(out, st.chooseSources()...)
 	st.logAge()
@@ -146,10 +146,8 @@
 	if st.shuttingDown || !st.loaded[KindMembers] || st.now.Sub(st.registeredAt) < registerInterval {
 		return nil
 	}
-	for _, m := range st.members {
-		if m == st.self.Member {
-			return nil
-		}
+	if st.memberList.listed[st.self.ID] == st.self.Member {
+		return nil
 	}
 	st.registeredAt = st.now
 	return []Action{RegisterMember{Member: st.self.Member}}
