usage: the duty of reporting usage across the store's return

Found on the same paths, by reading and with the model of the duty: what instances know of the duty was ordered by bare revisions. After a return followers ignored the holder's renewals until the revisions had caught up, and took the duty from it; the token fell to that of the copy, and a claim of the lost time was forgotten while its lease ran.

Standings, reads and writes of the entry now have a position. An instance that learns of a later era sends no report before its lease is confirmed by another write. Only the instance that had the lease goes on at once; the others wait for a whole lease from then, since one may have been granted in the lost time. Tokens and stored windows never go back, and the holder writes the reports again that the store has lost, unchanged. A write that was answered in another era than it was made in counts as rejected. Two claims or reports that no living instance knows of are lost with the store.

--- a/core/usage/entry.go
+++ b/core/usage/entry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/store"
 )
 
 // Entry is the content of the duty's object in the store.
@@ -41,7 +42,7 @@
 	Holder   ident.InstanceID
 	Token    Token
 	Lease    time.Duration
-	Revision ident.Revision
+	Position store.Position
 	// Stored is the last window whose report is stored.
 	Stored Window
 }
--- a/core/usage/event.go
+++ b/core/usage/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/store"
 )
 
 // Event is an input of a Reporter.
@@ -17,13 +18,15 @@
 		Rank int
 		// Alone reports that no other instance is known.
 		Alone bool
+		// Era is the latest known era of the store.
+		Era ident.Era
 	}
 
-	// EntryRead holds the entry in the store.
+	// EntryRead holds the entry in the store, with the era of the reply and the entry's revision.
 	EntryRead struct {
 		At       Time
 		Entry    Entry
-		Revision ident.Revision
+		Position store.Position
 		// Absent reports that there is no entry.
 		Absent bool
 	}
@@ -31,10 +34,11 @@
 	// ReadFailed reports that the entry could not be read.
 	ReadFailed struct{ At Time }
 
-	// EntryWritten reports that the last write was executed. The revision is 0 if the store did not return it.
+	// EntryWritten reports that the last write was executed, with the era of the reply. The revision is 0 if the store did not return
+	// it.
 	EntryWritten struct {
 		At       Time
-		Revision ident.Revision
+		Position store.Position
 	}
 
 	// WriteRejected reports that the entry has another revision than the last write expected.
--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/store"
 )
 
 const (
@@ -43,6 +44,7 @@
 type write struct {
 	entry Entry
 	began time.Duration
+	era   ident.Era
 }
 
 // Reporter is the state machine of one instance that takes part in the duty of reporting usage. It decides when the instance
@@ -72,8 +74,8 @@
 	holderHeardAt time.Duration
 	checked       bool
 
-	// entry is the last content of the store that this instance read or wrote, and revision its revision, or 0 if it must
-	// be read before the next write.
+	// entry is the last content of the store that this instance read or wrote, and revision its revision in the present era, or 0 if
+	// it must be read before the next write.
 	entry    Entry
 	revision ident.Revision
 	reading  bool
@@ -82,6 +84,8 @@
 	store    backoff
 	// rejections counts the rejected writes since a newer revision was known.
 	rejections int
+	// storeReturn is what outlasts a return of the store to an older copy.
+	storeReturn
 	// outrankedAt is the last time at which this instance was a candidate or did not have the duty.
 	outrankedAt time.Duration
 
@@ -133,6 +137,7 @@
 }
 
 func (r *Reporter) tick(e Tick) []Action {
+	r.observeEra(e.Era, e.At)
 	r.rank, r.alone = e.Rank, e.Alone
 	if r.started == nil {
 		// An earlier process of this instance may have sent a report just before.
@@ -191,7 +196,10 @@
 
 // claimDue reports whether the lease of the known holder has surely ended.
 func (r *Reporter) claimDue(at Time) bool {
-	if r.standing.Holder == r.self && !r.absent {
+	if r.waitsAfterReturn(at) {
+		return false
+	}
+	if r.standing.Holder == r.self && (!r.absent || r.heldAtReturn) {
 		return true
 	}
 	if at.Boot < r.lastSend+r.settings.ReclaimDelay {
@@ -250,7 +258,7 @@
 // write writes the entry in this instance's name on condition of the known revision.
 func (r *Reporter) write(at Time, e Entry, lease time.Duration) []Action {
 	e.Holder, e.Lease, e.Sent = r.self, lease, max(e.Sent, r.sent)
-	r.pending = &write{entry: e, began: at.Boot}
+	r.pending = &write{entry: e, began: at.Boot, era: r.era}
 	return []Action{WriteEntry{Entry: e, Condition: r.revision}}
 }
 
@@ -267,26 +275,32 @@
 
 func (r *Reporter) handleRead(e EntryRead) []Action {
 	r.reading = false
+	r.observeEra(e.Position.Era, e.At)
+	if e.Position.Era < r.era {
+		// A late reply shows what the store has lost.
+		r.failStore(e.At)
+		return nil
+	}
 	if r.rejections <= 1 {
 		r.store.reset()
 	}
 	if r.state == StateLeft {
 		if !e.Absent {
-			r.observe(standingOf(&e.Entry, e.Revision), e.At)
+			r.observe(standingOf(&e.Entry, e.Position), e.At)
 		}
 		return nil
 	}
 	r.expire(e.At)
-	r.entry, r.revision = e.Entry, e.Revision
+	r.entry, r.revision = r.restore(e.Entry), e.Position.Revision
 	if e.Absent {
-		r.entry, r.revision, r.state = Entry{}, 0, StateFollower
+		r.revision, r.state = 0, StateFollower
 		r.observeAbsence(e.At)
 		return r.claim(e.At)
 	}
-	r.observe(standingOf(&e.Entry, e.Revision), e.At)
+	r.observe(standingOf(&e.Entry, e.Position), e.At)
 	r.sent = max(r.sent, e.Entry.Sent)
 	switch {
-	case e.Entry.Holder != r.self:
+	case e.Entry.Holder != r.self || r.standing.Holder != r.self || r.waitsAfterReturn(e.At):
 		r.state = StateFollower
 		return r.claim(e.At)
 	case r.state == StateHolder:
@@ -296,20 +310,23 @@
 		return nil
 	default:
 		// Nobody else can have written the entry since this instance did, so that the token stays the same.
-		r.state = StateLapsed
+		r.state, r.entry.Token = StateLapsed, max(r.entry.Token, r.standing.Token)
 		return r.write(e.At, r.entry.with(r.dueReports(e.At)...), r.settings.Lease())
 	}
 }
 
-func standingOf(e *Entry, rev ident.Revision) Standing {
-	return Standing{Holder: e.Holder, Token: e.Token, Lease: e.Lease, Revision: rev, Stored: e.Stored()}
+func standingOf(e *Entry, p store.Position) Standing {
+	return Standing{Holder: e.Holder, Token: e.Token, Lease: e.Lease, Position: p, Stored: e.Stored()}
 }
 
 // observe records newer knowledge of the duty and reports whether it is newer.
 func (r *Reporter) observe(s Standing, at Time) bool {
-	if r.observed && s.Revision <= r.standing.Revision {
+	if r.observed && !r.standing.Position.Before(s.Position) {
 		return false
 	}
+	if r.observed && r.standing.Position.Era < s.Position.Era {
+		s = r.standing.outlast(s)
+	}
 	r.standing, r.changedAt, r.observed, r.absent = s, at.Boot, true, false
 	r.rejections = 0
 	r.ledger.Forget(s.Stored)
@@ -324,22 +341,27 @@
 
 func (r *Reporter) handleWritten(e EntryWritten) []Action {
 	w := r.pending
+	r.observeEra(e.Position.Era, e.At)
+	if w != nil && (w.era != r.era || e.Position.Era != r.era) {
+		// The store has lost the write, or has executed it on condition of a revision that was given out again.
+		return r.handleRejected(WriteRejected{At: e.At})
+	}
 	r.pending, r.rejections = nil, 0
 	r.store.reset()
 	switch {
 	case w == nil:
 		return nil
-	case w.entry.Lease == 0 && e.Revision == 0:
+	case w.entry.Lease == 0 && e.Position.Revision == 0:
 		// Successors learn the revision from this instance.
 		return r.read()
 	case w.entry.Lease == 0:
-		r.observe(standingOf(&w.entry, e.Revision), e.At)
+		r.observe(standingOf(&w.entry, e.Position), e.At)
 		return nil
 	}
-	r.entry, r.revision = w.entry, e.Revision
+	r.entry, r.revision = w.entry, e.Position.Revision
 	r.leaseEnd, r.state = w.began+r.settings.Lease(), StateHolder
-	if e.Revision > 0 {
-		r.observe(standingOf(&r.entry, e.Revision), e.At)
+	if e.Position.Revision > 0 {
+		r.observe(standingOf(&r.entry, e.Position), e.At)
 	}
 	r.expire(e.At)
 	return r.nextReport(e.At)
@@ -385,7 +407,8 @@
 
 // handleStanding notes what another instance knows of the duty.
 func (r *Reporter) handleStanding(e StandingHeard) {
-	newer := e.Standing.Revision > 0 && r.observe(e.Standing, e.At)
+	r.observeEra(e.Standing.Position.Era, e.At)
+	newer := e.Standing.Position.Revision > 0 && r.observe(e.Standing, e.At)
 	if e.From == r.standing.Holder {
 		r.holderHeardAt, r.checked = e.At.Boot, false
 	}
--- a/core/usage/reporter_test.go
+++ b/core/usage/reporter_test.go
@@ -9,8 +9,12 @@
 	"pgregory.net/rapid"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/store"
 )
 
+// revision returns the position of a revision in a store that has no eras.
+func revision(rev ident.Revision) store.Position { return store.Position{Revision: rev} }
+
 // lucky draws the first choice always.
 func lucky(int) int { return 0 }
 
@@ -217,9 +221,9 @@
 		writes = append(writes, out[0].(WriteEntry))
 	}
 	require.Equal(t, writes[0].Entry.Token, writes[1].Entry.Token)
-	reporters[0].Handle(EntryWritten{At: at, Revision: 7})
+	reporters[0].Handle(EntryWritten{At: at, Position: revision(7)})
 	require.Equal(t, []Action{ReadEntry{}}, reporters[1].Handle(WriteRejected{At: at}))
-	require.Empty(t, reporters[1].Handle(EntryRead{At: at, Entry: writes[0].Entry, Revision: 7}))
+	require.Empty(t, reporters[1].Handle(EntryRead{At: at, Entry: writes[0].Entry, Position: revision(7)}))
 	require.Equal(t, StateFollower, reporters[1].State())
 }
 
@@ -231,10 +235,10 @@
 	at.Boot += joinTime
 	require.Equal(t, []Action{ReadEntry{}}, r.Handle(Tick{At: at, Rank: 0}))
 	stored := Entry{Holder: "a", Token: 4, Lease: 8 * time.Second, Reports: []Report{{Window: 339999998}}}
-	out := r.Handle(EntryRead{At: at, Entry: stored, Revision: 9})
+	out := r.Handle(EntryRead{At: at, Entry: stored, Position: revision(9)})
 	require.Len(t, out, 1)
 	require.Equal(t, Token(4), out[0].(WriteEntry).Entry.Token)
-	out = r.Handle(EntryWritten{At: at, Revision: 10})
+	out = r.Handle(EntryWritten{At: at, Position: revision(10)})
 	require.Equal(t, []Action{SendReport{Report: stored.Reports[0], Holder: "a", Token: 4, Until: at.Boot + 8*time.Second - sendMargin}}, out)
 }
 
@@ -244,13 +248,13 @@
 	r := NewReporter("a", testSettings(), NewLedger())
 	at := Time{Boot: time.Hour, Wall: wallStart}
 	r.Handle(Tick{At: at, Rank: 0})
-	released := Standing{Holder: "b", Token: 5, Revision: 9}
+	released := Standing{Holder: "b", Token: 5, Position: revision(9)}
 	r.Handle(StandingHeard{At: at, Standing: released})
 	at.Boot += testSettings().ReclaimDelay - tickTime
 	require.Empty(t, r.Handle(Tick{At: at, Rank: 0}))
 	at.Boot += tickTime
 	require.Equal(t, []Action{ReadEntry{}}, r.Handle(Tick{At: at, Rank: 0}))
-	out := r.Handle(EntryRead{At: at, Entry: Entry{Holder: "b", Token: 5}, Revision: 9})
+	out := r.Handle(EntryRead{At: at, Entry: Entry{Holder: "b", Token: 5}, Position: revision(9)})
 	require.Len(t, out, 1)
 	require.Equal(t, Token(6), out[0].(WriteEntry).Entry.Token)
 }
@@ -270,7 +274,7 @@
 			calls++
 			at.Boot += time.Millisecond
 			if _, ok := out[0].(ReadEntry); ok {
-				out = r.Handle(EntryRead{At: at, Entry: Entry{Holder: "a", Token: 4, Lease: 8 * time.Second}, Revision: 9})
+				out = r.Handle(EntryRead{At: at, Entry: Entry{Holder: "a", Token: 4, Lease: 8 * time.Second}, Position: revision(9)})
 			} else {
 				out = r.Handle(WriteRejected{At: at})
 			}
@@ -292,12 +296,12 @@
 	at.Boot += joinTime
 	r.Handle(Tick{At: at, Rank: 0})
 	stored := Entry{Holder: "a", Token: 4, Lease: 8 * time.Second}
-	require.Len(t, r.Handle(EntryRead{At: at, Entry: stored, Revision: 9}), 1)
+	require.Len(t, r.Handle(EntryRead{At: at, Entry: stored, Position: revision(9)}), 1)
 	r.Handle(EntryWritten{At: at})
 	require.Equal(t, StateHolder, r.State())
 	r.Handle(Leave{At: at})
 	require.Equal(t, []Action{ReadEntry{}}, r.Handle(Tick{At: at, Rank: -1}))
-	out := r.Handle(EntryRead{At: at, Entry: stored, Revision: 10})
+	out := r.Handle(EntryRead{At: at, Entry: stored, Position: revision(10)})
 	require.Len(t, out, 1)
 	require.Zero(t, out[0].(WriteEntry).Entry.Lease)
 	require.Equal(t, ident.Revision(10), out[0].(WriteEntry).Condition)
--- a/core/usage/world_test.go
+++ b/core/usage/world_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/store"
 )
 
 // testSettings are the settings of the users' deployment.
@@ -52,9 +53,11 @@
 	generation     int
 	dead           bool
 	suspendedUntil time.Duration
-	cut            bool
-	jump           time.Duration
-	calls          uint64
+	// learnsEraAt is the time at which the node learns of the store's last return.
+	learnsEraAt time.Duration
+	cut         bool
+	jump        time.Duration
+	calls       uint64
 }
 
 // world holds instances, the store and the API in virtual time.
@@ -65,6 +68,7 @@
 	draw     func(n int) int
 	entry    Entry
 	revision ident.Revision
+	era      ident.Era
 	storeOps int
 	store    mode
 	api      mode
@@ -148,8 +152,8 @@
 		return
 	}
 	w.after(w.storeDelay(), func() {
-		e, rev := w.entry, w.revision
-		w.onNode(n, 0, func() { w.handle(n, EntryRead{At: w.time(n), Entry: e, Revision: rev, Absent: rev == 0}) })
+		e, pos := w.entry, store.Position{Era: w.era, Revision: w.revision}
+		w.onNode(n, 0, func() { w.handle(n, EntryRead{At: w.time(n), Entry: e, Position: pos, Absent: pos.Revision == 0}) })
 	})
 }
 
@@ -174,9 +178,9 @@
 				w.revision++
 				w.entry = a.Entry
 			}
-			rev := w.revision
+			pos := store.Position{Era: w.era, Revision: w.revision}
 			if w.noRevisions {
-				rev = 0
+				pos.Revision = 0
 			}
 			if m == modeLost || m == modeLate {
 				return
@@ -185,7 +189,7 @@
 				if conflict {
 					w.handle(n, WriteRejected{At: w.time(n)})
 				} else {
-					w.handle(n, EntryWritten{At: w.time(n), Revision: rev})
+					w.handle(n, EntryWritten{At: w.time(n), Position: pos})
 					w.share(n)
 				}
 			})
@@ -258,7 +262,7 @@
 				Source: Source{Instance: n.id, Incarnation: 1}, Sequence: Sequence(n.calls),
 				Windows: []Report{{Window: current, Counts: Counts{"t": n.calls + uint64(i)}}},
 			}, current, w.time(n).Boot)
-			w.handle(n, Tick{At: w.time(n), Rank: w.rank(n)})
+			w.handle(n, Tick{At: w.time(n), Rank: w.rank(n), Era: w.knownEra(n)})
 			if w.now%(5*tickTime) == 0 {
 				w.share(n)
 			}
@@ -266,6 +270,23 @@
 	}
 }
 
+// returnTo sets the store back to an older copy. The nodes learn of it within a second.
+func (w *world) returnTo(e Entry, rev ident.Revision) {
+	w.era++
+	w.entry, w.revision = e, rev
+	for _, n := range w.nodes {
+		n.learnsEraAt = w.now + time.Duration(w.draw(10))*tickTime
+	}
+}
+
+// knownEra returns the era of the store that the node knows.
+func (w *world) knownEra(n *node) ident.Era {
+	if w.now < n.learnsEraAt {
+		return w.era - 1
+	}
+	return w.era
+}
+
 // runQueue runs the tasks that are due, in the order of their times.
 func (w *world) runQueue() {
 	for {
--- a/goldcreststand/internal/cmd/usage.go
+++ b/goldcreststand/internal/cmd/usage.go
@@ -44,7 +44,7 @@
 	inst.duty.Publish(vars)
 	vars.Set("duty", expvar.Func(func() any {
 		u := inst.loop.Usage()
-		return map[string]any{"state": u.State.String(), "holder": u.Holder, "token": u.Token, "revision": u.Revision, "stored": u.Stored}
+		return map[string]any{"state": u.State.String(), "holder": u.Holder, "token": u.Token, "era": u.Position.Era, "revision": u.Position.Revision, "stored": u.Stored}
 	}))
 	inst.vars.Set("usage", vars)
 }
--- a/goldcreststand/internal/duty/duty_test.go
+++ b/goldcreststand/internal/duty/duty_test.go
@@ -22,12 +22,12 @@
 	events chan hub.Event
 }
 
-func (f *fake) ReadDuty(context.Context) (usage.Entry, ident.Revision, error) {
-	return usage.Entry{Token: 3}, 8, f.err
+func (f *fake) ReadDuty(context.Context) (usage.Entry, store.Position, error) {
+	return usage.Entry{Token: 3}, store.Position{Era: 2, Revision: 8}, f.err
 }
 
-func (f *fake) WriteDuty(_ context.Context, _ usage.Entry, condition ident.Revision) (ident.Revision, error) {
-	return condition + 1, f.err
+func (f *fake) WriteDuty(_ context.Context, _ usage.Entry, condition ident.Revision) (store.Position, error) {
+	return store.Position{Era: 2, Revision: condition + 1}, f.err
 }
 
 func (f *fake) SendReport(context.Context, usage.SendReport) (usage.Outcome, error) {
@@ -53,9 +53,9 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			go q.Run(ctx)
 			q.ReadDuty()
-			require.Equal(t, hub.DutyRead{Entry: usage.Entry{Token: 3}, Revision: 8, Err: err}, <-f.events)
+			require.Equal(t, hub.DutyRead{Entry: usage.Entry{Token: 3}, Position: store.Position{Era: 2, Revision: 8}, Err: err}, <-f.events)
 			q.WriteDuty(hub.WriteDuty{WriteEntry: usage.WriteEntry{Condition: 8}})
-			require.Equal(t, hub.DutyWritten{Revision: 9, Err: err}, <-f.events)
+			require.Equal(t, hub.DutyWritten{Position: store.Position{Era: 2, Revision: 9}, Err: err}, <-f.events)
 			outcome := usage.OutcomeAccepted
 			if err != nil {
 				outcome = usage.OutcomeFailed
--- a/goldcreststand/internal/duty/queue.go
+++ b/goldcreststand/internal/duty/queue.go
@@ -19,10 +19,11 @@
 
 // Store reads and writes the duty's entry.
 type Store interface {
-	// ReadDuty returns the entry and its revision.
-	ReadDuty(ctx context.Context) (usage.Entry, ident.Revision, error)
-	// WriteDuty writes the entry on condition that it has the revision, and returns the new one or 0 if that is not known.
-	WriteDuty(ctx context.Context, e usage.Entry, condition ident.Revision) (ident.Revision, error)
+	// ReadDuty returns the entry and its position. If there is no entry, the position holds the era of the reply.
+	ReadDuty(ctx context.Context) (usage.Entry, store.Position, error)
+	// WriteDuty writes the entry on condition that it has the revision, and returns its new position. The revision is 0 if it is not
+	// known.
+	WriteDuty(ctx context.Context, e usage.Entry, condition ident.Revision) (store.Position, error)
 }
 
 // API receives the reports.
@@ -79,11 +80,11 @@
 func (q *Queue) ReadDuty() {
 	q.reads.Add(1)
 	q.submit(func(ctx context.Context) hub.Event {
-		e, rev, err := q.store.ReadDuty(ctx)
+		e, at, err := q.store.ReadDuty(ctx)
 		if !store.ErrNotFound.Has(err) {
 			q.logFailure("reading the entry", err)
 		}
-		return hub.DutyRead{Entry: e, Revision: rev, Err: err}
+		return hub.DutyRead{Entry: e, Position: at, Err: err}
 	}, func(err error) hub.Event { return hub.DutyRead{Err: err} })
 }
 
@@ -91,9 +92,9 @@
 func (q *Queue) WriteDuty(a hub.WriteDuty) {
 	q.writes.Add(1)
 	q.submit(func(ctx context.Context) hub.Event {
-		rev, err := q.store.WriteDuty(ctx, a.Entry, a.Condition)
+		at, err := q.store.WriteDuty(ctx, a.Entry, a.Condition)
 		q.logFailure("writing the entry", err)
-		return hub.DutyWritten{Revision: rev, Err: err}
+		return hub.DutyWritten{Position: at, Err: err}
 	}, func(err error) hub.Event { return hub.DutyWritten{Err: err} })
 }
 
--- a/goldcreststand/internal/hub/usage.go
+++ b/goldcreststand/internal/hub/usage.go
@@ -9,6 +9,7 @@
 	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/place"
 	"goldcreststand.example/core/ring"
+	"goldcreststand.example/core/store"
 	"goldcreststand.example/core/usage"
 )
 
@@ -49,8 +50,8 @@
 	State  usage.State
 	Holder ident.InstanceID
 	Token  usage.Token
-	// Revision is the latest known revision of the duty's entry, and Stored the last window whose report is in it.
-	Revision ident.Revision
+	// Position is the latest known position of the duty's entry, and Stored the last window whose report is in it.
+	Position store.Position
 	Stored   usage.Window
 }
 
@@ -109,7 +110,7 @@
 		return nil
 	}
 	u.offset = u.ledger.Offset(u.meter.Wall(st.boot) - st.boot)
-	out := st.handleUsage(usage.Tick{At: st.usageTime(), Rank: st.usageRank(), Alone: len(st.members) <= 1})
+	out := st.handleUsage(usage.Tick{At: st.usageTime(), Rank: st.usageRank(), Alone: len(st.members) <= 1, Era: st.era})
 	if st.boot >= u.sendAt {
 		out = append(out, st.sendCounts(nil)...)
 	}
@@ -131,11 +132,11 @@
 		}
 	}
 	s := u.reporter.Standing()
-	status := UsageStatus{State: u.reporter.State(), Holder: s.Holder, Token: s.Token, Revision: s.Revision, Stored: s.Stored}
+	status := UsageStatus{State: u.reporter.State(), Holder: s.Holder, Token: s.Token, Position: s.Position, Stored: s.Stored}
 	if status.State != u.status.State || status.Token != u.status.Token {
-		st.logChange("usage duty changed", logrus.Fields{"state": status.State.String(), "holder": s.Holder, "token": s.Token, "revision": s.Revision})
+		st.logChange("usage duty changed", logrus.Fields{"state": status.State.String(), "holder": s.Holder, "token": s.Token, "era": s.Position.Era, "revision": s.Position.Revision})
 	}
-	if status.Revision != u.status.Revision && (status.State == usage.StateHolder || status.State == usage.StateLeft) {
+	if status.Position != u.status.Position && (status.State == usage.StateHolder || status.State == usage.StateLeft) {
 		// Successors wait from the time at which they know the revision.
 		u.sendAt = min(u.sendAt, st.boot)
 	}
--- a/goldcreststand/internal/hub/usage_test.go
+++ b/goldcreststand/internal/hub/usage_test.go
@@ -70,7 +70,7 @@
 			f.deliver(h, a)
 		case ReadDuty:
 			f.calls++
-			ev := DutyRead{Entry: f.entry, Revision: f.revision}
+			ev := DutyRead{Entry: f.entry, Position: at(f.revision)}
 			if f.revision == 0 {
 				ev.Err = store.ErrNotFound.New("usage")
 			}
@@ -80,7 +80,7 @@
 			ev := DutyWritten{Err: store.ErrConflict.New("usage")}
 			if a.Condition == f.revision {
 				f.revision++
-				f.entry, ev = a.Entry, DutyWritten{Revision: f.revision}
+				f.entry, ev = a.Entry, DutyWritten{Position: at(f.revision)}
 			}
 			f.do(h, h.apply(ev))
 		case SendUsage:
@@ -244,11 +244,11 @@
 	require.Empty(t, h.apply(DutyRead{Err: store.ErrUnavailable.New("down")}))
 	h.boot += time.Minute
 	require.Equal(t, []Action{ReadDuty{}}, actionsAs[ReadDuty](h.tickUsage()))
-	require.Len(t, actionsAs[WriteDuty](h.apply(DutyRead{Entry: f.entry, Revision: f.revision})), 1)
+	require.Len(t, actionsAs[WriteDuty](h.apply(DutyRead{Entry: f.entry, Position: at(f.revision)})), 1)
 	require.Empty(t, h.apply(DutyWritten{Err: errors.New("lost")}))
 	h.boot += time.Minute
 	h.tickUsage()
-	require.Len(t, actionsAs[WriteDuty](h.apply(DutyRead{Entry: f.entry, Revision: f.revision})), 1)
+	require.Len(t, actionsAs[WriteDuty](h.apply(DutyRead{Entry: f.entry, Position: at(f.revision)})), 1)
 	require.Equal(t, []Action{ReadDuty{}}, h.apply(DutyWritten{Err: store.ErrConflict.New("usage")}))
 }
 
--- a/goldcreststand/internal/hub/usageevents.go
+++ b/goldcreststand/internal/hub/usageevents.go
@@ -1,7 +1,6 @@
 package hub
 
 import (
-	"goldcreststand.example/core/ident"
 	"goldcreststand.example/core/store"
 	"goldcreststand.example/core/usage"
 )
@@ -30,13 +29,13 @@
 	// DutyRead holds the duty's entry in the store.
 	DutyRead struct {
 		Entry    usage.Entry
-		Revision ident.Revision
+		Position store.Position
 		Err      error
 	}
 
 	// DutyWritten reports the result of writing the duty's entry. The revision is 0 if the store did not return it.
 	DutyWritten struct {
-		Revision ident.Revision
+		Position store.Position
 		Err      error
 	}
 
@@ -90,11 +89,11 @@
 	at := st.usageTime()
 	switch {
 	case store.ErrNotFound.Has(e.Err):
-		return st.handleUsage(usage.EntryRead{At: at, Absent: true})
+		return st.handleUsage(usage.EntryRead{At: at, Position: e.Position, Absent: true})
 	case e.Err != nil:
 		return st.handleUsage(usage.ReadFailed{At: at})
 	default:
-		return st.handleUsage(usage.EntryRead{At: at, Entry: e.Entry, Revision: e.Revision})
+		return st.handleUsage(usage.EntryRead{At: at, Entry: e.Entry, Position: e.Position})
 	}
 }
 
@@ -107,7 +106,7 @@
 		return st.handleUsage(usage.WriteUnanswered{At: at})
 	default:
 		// Successors wait from the time at which they know the revision, which must be known before a report is sent.
-		out := st.handleUsage(usage.EntryWritten{At: at, Revision: e.Revision})
+		out := st.handleUsage(usage.EntryWritten{At: at, Position: e.Position})
 		return append(st.sendCounts(nil), out...)
 	}
 }
--- a/goldcreststand/internal/mesh/usage_test.go
+++ b/goldcreststand/internal/mesh/usage_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"goldcreststand.example/core/store"
 	"goldcreststand.example/core/usage"
 	"goldcreststand.example/goldcreststand/internal/hub"
 )
@@ -17,7 +18,7 @@
 		Source: usage.Source{Instance: "a", Incarnation: 7}, Sequence: 9, Clock: 7 * time.Second,
 		Windows: []usage.Report{{Window: 41, Counts: usage.Counts{"T 1": 3}}, {Window: 42, Counts: usage.Counts{}}},
 	}
-	standing := usage.Standing{Holder: "b", Token: 4, Lease: 8 * time.Second, Revision: 77, Stored: 40}
+	standing := usage.Standing{Holder: "b", Token: 4, Lease: 8 * time.Second, Position: store.Position{Era: 3, Revision: 77}, Stored: 40}
 	delivered, versions := make(chan struct{}, 1), map[usage.Window]uint64{41: 3, 42: 1}
 	a.mesh.SendCounts(hub.SendCounts{To: b.member, Message: m, Standing: standing, Versions: versions, Delivered: delivered})
 	received := next[hub.CountsReceived](t, b)
--- a/schema/wire/usage.go
+++ b/schema/wire/usage.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"goldcreststand.example/core/ident"
+	"goldcreststand.example/core/store"
 	"goldcreststand.example/core/usage"
 )
 
@@ -41,12 +42,13 @@
 
 // FromStanding converts what an instance knows of the duty to a message.
 func FromStanding(s usage.Standing) Standing {
-	return Standing{Holder: string(s.Holder), Token: s.Token, Lease: int(s.Lease.Milliseconds()), Revision: s.Revision, Stored: s.Stored}
+	return Standing{Holder: string(s.Holder), Token: s.Token, Lease: int(s.Lease.Milliseconds()), Revision: s.Position.Revision, Era: eraField(s.Position.Era), Stored: s.Stored}
 }
 
 // Core converts the message to what an instance knows of the duty.
 func (j *Standing) Core() usage.Standing {
 	return usage.Standing{
-		Holder: ident.InstanceID(j.Holder), Token: j.Token, Lease: time.Duration(j.Lease) * time.Millisecond, Revision: j.Revision, Stored: j.Stored,
+		Holder: ident.InstanceID(j.Holder), Token: j.Token, Lease: time.Duration(j.Lease) * time.Millisecond, Stored: j.Stored,
+		Position: store.Position{Era: eraOf(j.Era), Revision: j.Revision},
 	}
 }
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -1788,6 +1788,10 @@
 
 // Standing is what an instance knows of the duty of reporting usage.
 type Standing struct {
+	// Era of the store in which the entry has the revision; 0 where the store has
+	// none.
+	Era *ident.Era `json:"era,omitempty,omitzero"`
+
 	// Instance that has the duty, or empty if none is known.
 	Holder string `json:"holder"`
 
