mesh: polls of instances that know no eras

Beside a store with eras, an instance of an earlier version would get all objects with each poll during a rolling upgrade, and poll again at once: it names a revision without an era, which is behind every position. A poll now always names the era, and a revision without one is taken for one of the source's era, as before.

No run with two versions was made.

--- a/goldcreststand/internal/mesh/poll.go
+++ b/goldcreststand/internal/mesh/poll.go
@@ -110,7 +110,7 @@
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
-		content, newer, err := m.excerpts.get(k, w.Position())
+		content, newer, err := m.excerpts.get(k, w.Position(m.excerpts.replicas.ChangedAt(k).Era))
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
--- a/schema/wire/position.go
+++ b/schema/wire/position.go
@@ -7,12 +7,16 @@
 
 // WantFrom returns the request for the objects of a kind that changed after the position.
 func WantFrom(kind string, known store.Position) Want {
-	return Want{Kind: kind, Known: known.Revision, Era: eraField(known.Era)}
+	return Want{Kind: kind, Known: known.Revision, Era: &known.Era}
 }
 
-// Position returns the position that the sender has.
-func (j *Want) Position() store.Position {
-	return store.Position{Era: eraOf(j.Era), Revision: j.Known}
+// Position returns the position that the sender has. A sender of a version that does not know eras gives none; its revision is taken for one of
+// the given era, since it would get all objects with each poll otherwise.
+func (j *Want) Position(era ident.Era) store.Position {
+	if j.Era != nil {
+		era = *j.Era
+	}
+	return store.Position{Era: era, Revision: j.Known}
 }
 
 // eraField returns the optional field of a message for an era.
--- a/schema/wire/wire_gen.go
+++ b/schema/wire/wire_gen.go
@@ -2311,7 +2311,7 @@
 // has.
 type Want struct {
 	// Era of the store in which the sender has the revision; 0 where the store has
-	// none.
+	// none, absent where the sender knows no eras.
 	Era *ident.Era `json:"era,omitempty,omitzero"`
 
 	// Kind of objects.
