hub: the model of the store returns to older copies

TestSnapshotsFollowTheStore takes copies and returns to them in any order with its other events, and requires that a server which drained and an evacuation that the copy lacks stay in force. Entries keep their revisions in a list, as in the store. 20,000 cases passed; with the hold of servers, that of evacuations, or the order of eras left out it failed within 3,000.

--- a/goldcreststand/internal/hub/model_test.go
+++ b/goldcreststand/internal/hub/model_test.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"maps"
 	"strconv"
 	"testing"
 	"time"
@@ -20,22 +21,40 @@
 	*harness
 	version ident.Revision
 	listed  map[ident.ServerID]roster.ServiceServer
+	// revisions holds the revision of each listed entry.
+	revisions map[ident.ServerID]ident.Revision
 	// removedAt holds the time at which a server's entry was removed. Such a server is kept for at most expiryGrace.
 	removedAt        map[ident.ServerID]time.Time
 	evacuatedDomains map[ident.DomainName]bool
-	phase            canary.Phase
+	// copied is the copy to which the store may return. leftUntil and evacuatedUntil hold the servers and the failure domains that the
+	// store has lost to be leaving or out of service, with the time until which they stay so.
+	copied         storeCopy
+	leftUntil      map[ident.ServerID]time.Time
+	evacuatedUntil map[ident.DomainName]time.Time
+	phase          canary.Phase
 	// posted holds the updates of servers posted so far.
 	posted []ServersUpdate
 }
 
+// storeCopy is an older copy of the store's content.
+type storeCopy struct {
+	rev              ident.Revision
+	listed           map[ident.ServerID]roster.ServiceServer
+	revisions        map[ident.ServerID]ident.Revision
+	evacuatedDomains map[ident.DomainName]bool
+}
+
 // Guards against calls to servers that were removed, drain, are in an evacuated domain or run a reverted version,
-// and against an older configuration, for any order of changes, outages and lists.
+// and against an older configuration, for any order of changes, outages, lists and returns of the store to an older copy.
 func TestSnapshotsFollowTheStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &storeModel{
 			harness: newHarness(), version: 1, listed: make(map[ident.ServerID]roster.ServiceServer),
 			removedAt: make(map[ident.ServerID]time.Time), evacuatedDomains: make(map[ident.DomainName]bool),
+			revisions: make(map[ident.ServerID]ident.Revision),
+			leftUntil: make(map[ident.ServerID]time.Time), evacuatedUntil: make(map[ident.DomainName]time.Time),
 		}
+		m.takeCopy(t)
 		m.order(1, "v2", true, canary.PhaseTrial)
 		t.Repeat(map[string]func(*rapid.T){
 			"":           m.check,
@@ -48,6 +67,8 @@
 			"evacuation": m.evacuate,
 			"phase":      m.advance,
 			"late":       m.repost,
+			"copy":       m.takeCopy,
+			"return":     m.restoreCopy,
 		})
 	})
 }
@@ -71,8 +92,40 @@
 	m.post(store.Batch[roster.ServiceServer]{
 		Objects: []store.Object[roster.ServiceServer]{{Name: string(id), Revision: m.rev, Value: e}}, AsOf: m.at(),
 	})
-	m.listed[id] = e
+	m.listed[id], m.revisions[id] = e, m.rev
 	delete(m.removedAt, id)
+	delete(m.leftUntil, id)
+}
+
+func (m *storeModel) takeCopy(*rapid.T) {
+	m.copied = storeCopy{rev: m.rev, listed: maps.Clone(m.listed), revisions: maps.Clone(m.revisions), evacuatedDomains: maps.Clone(m.evacuatedDomains)}
+}
+
+// restoreCopy sets the store back to the copy, and posts the lists that an instance then reads.
+func (m *storeModel) restoreCopy(t *rapid.T) {
+	before, evacuated := m.listed, m.evacuatedDomains
+	m.returnTo(m.copied.rev)
+	m.listed, m.revisions, m.evacuatedDomains = maps.Clone(m.copied.listed), maps.Clone(m.copied.revisions), maps.Clone(m.copied.evacuatedDomains)
+	for id, e := range before {
+		if _, ok := m.listed[id]; !ok {
+			m.removedAt[id] = m.now
+		} else if e.Server.Draining {
+			m.leftUntil[id] = m.now.Add(reaffirmTime)
+		}
+	}
+	for d, until := range m.evacuatedUntil {
+		evacuated[d] = evacuated[d] || m.now.Before(until)
+	}
+	var domains []ident.DomainName
+	for _, d := range []ident.DomainName{"d1", "d2"} {
+		if m.evacuatedDomains[d] {
+			domains = append(domains, d)
+		} else if evacuated[d] {
+			m.evacuatedUntil[d] = m.now.Add(reaffirmTime)
+		}
+	}
+	m.relist(t)
+	m.harness.evacuate(true, domains...)
 }
 
 func (m *storeModel) remove(t *rapid.T) {
@@ -113,7 +166,7 @@
 		if ok && rapid.Bool().Draw(t, "lapsed") {
 			m.removeEntry(id)
 		} else if ok {
-			batch.Objects = append(batch.Objects, store.Object[roster.ServiceServer]{Name: string(id), Revision: m.rev, Value: e})
+			batch.Objects = append(batch.Objects, store.Object[roster.ServiceServer]{Name: string(id), Revision: m.revisions[id], Value: e})
 		}
 	}
 	m.post(batch)
@@ -129,6 +182,7 @@
 func (m *storeModel) evacuate(t *rapid.T) {
 	d := rapid.SampledFrom([]ident.DomainName{"d1", "d2"}).Draw(t, "domain")
 	m.evacuatedDomains[d] = !m.evacuatedDomains[d]
+	delete(m.evacuatedUntil, d)
 	m.rev++
 	b := store.Batch[ident.DomainName]{AsOf: m.at()}
 	if m.evacuatedDomains[d] {
@@ -159,6 +213,8 @@
 		}
 		require.False(t, e.Server.Draining, "%s drains", id)
 		require.False(t, m.evacuatedDomains[e.Server.Domain], "%s is in an evacuated domain", id)
+		require.False(t, m.now.Before(m.leftUntil[id].Add(-tickInterval)), "%s drained before the store's return", id)
+		require.False(t, m.now.Before(m.evacuatedUntil[e.Server.Domain].Add(-tickInterval)), "%s is in a domain whose evacuation was lost", id)
 	}
 	for _, id := range trial {
 		require.NotEqual(t, canary.PhaseReverted, m.phase, "%s runs a reverted version", id)
