hub: a server in its removal grace is not used when its hold ends

The end of the 30 s for which a lost leave is held set the server's entry to ready, also when the entry had been removed again meanwhile and the server was kept for the last 1.9 s. Found by reading the change.

--- a/goldcreststand/internal/hub/storereturn.go
+++ b/goldcreststand/internal/hub/storereturn.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -112,7 +113,7 @@
 // endLostLeaves uses servers again that are listed as ready for long after the store's return.
 func (st *state) endLostLeaves() {
 	for _, id := range st.lostLeaves.expire(st.now) {
-		if s, ok := st.servers[id]; ok {
+		if s, ok := st.servers[id]; ok && s.removeAt.IsZero() {
 			s.entry.Server.Draining, st.changed = false, true
 			st.logChange("server is still listed as ready after the store's return", logrus.Fields{"server": id, "waited": reaffirmTime.Milliseconds()})
 		}
@@ -130,10 +131,7 @@
 	if len(ended) == 0 {
 		return
 	}
-	evacuated := make(map[ident.DomainName]bool)
-	for d := range st.evacuated {
-		evacuated[d] = true
-	}
+	evacuated := maps.Clone(st.evacuated)
 	for _, d := range ended {
 		st.logChange("lost evacuation was not written again", logrus.Fields{"domain": d, "waited": reaffirmTime.Milliseconds()})
 		delete(evacuated, d)
