--- a/goldcreststand/internal/cmd/storereturn_test.go
+++ b/goldcreststand/internal/cmd/storereturn_test.go
@@ -20,11 +20,20 @@
 			require.Eventually(t, func() bool { return int(sites[name].inst.loop.Load().Config.Version) == version }, bound, 10*time.Millisecond, "%s", name)
 		}
 	}
+	awaitServers := func(n int) {
+		t.Helper()
+		for name := range sites {
+			inUse := func() bool { return sites[name].inst.loop.Load().Services["one"].Stable.Size() == n }
+			require.Eventually(t, inUse, bound, 10*time.Millisecond, "%s", name)
+		}
+	}
 	rev, objects := store.content()
 	for v := 2; v < 8; v++ {
 		putOrganisations(store, v, `[]`)
 	}
+	store.put("evacuations", "other", `{}`)
 	awaitConfig(7)
+	awaitServers(1)
 	for v := 8; v < 10; v++ {
 		store.returnTo(rev, objects)
 		putOrganisations(store, v, `[]`)
@@ -33,4 +42,6 @@
 			require.EqualValues(t, store.era, sites[name].inst.loop.Freshness().Era, "%s", name)
 		}
 	}
+	store.put("evacuations", "z", `{}`)
+	awaitServers(0)
 }
