--- a/goldcreststand/internal/edge/cancel_test.go
+++ b/goldcreststand/internal/edge/cancel_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"goldcreststand.example/core/route"
 	"goldcreststand.example/core/spread"
 )
 
@@ -42,7 +43,8 @@
 	f.setTimeout(20 * time.Second)
 	p := newPipeline(f)
 	p.get("/safe/hang", "/safe/1", "/unsafe/2", "/safe/3")
-	require.Eventually(t, func() bool { return b.count() == 2 }, 10*time.Second, time.Millisecond)
+	// The response to the second call must have arrived: until then its outcome is unknown, as that of the first one is.
+	require.Eventually(t, func() bool { return b.count() == 2 && f.recorder.count(route.ResultOK) == 1 }, 10*time.Second, time.Millisecond)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/goldcreststand/internal/edge/harness_test.go
+++ b/goldcreststand/internal/edge/harness_test.go
@@ -296,6 +296,19 @@
 	r.outcomes = append(r.outcomes, o)
 }
 
+// count returns the number of tries with the result.
+func (r *recorder) count(result route.Result) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, o := range r.outcomes {
+		if o.Result == result {
+			n++
+		}
+	}
+	return n
+}
+
 // harness has a handler, its backend servers and a caller.
 type harness struct {
 	t        *testing.T
