--- a/core/usage/reporter.go
+++ b/core/usage/reporter.go
@@ -44,7 +44,8 @@
 type write struct {
 	entry Entry
 	began time.Duration
-	era   ident.Era
+	// era is the latest known era of the store at that time.
+	era ident.Era
 }
 
 // Reporter is the state machine of one instance that takes part in the duty of reporting usage. It decides when the instance
@@ -84,7 +85,7 @@
 	store    backoff
 	// rejections counts the rejected writes since a newer revision was known.
 	rejections int
-	// storeReturn is what outlasts a return of the store to an older copy.
+	// storeReturn is what this instance knows about returns of the store to an older copy.
 	storeReturn
 	// outrankedAt is the last time at which this instance was a candidate or did not have the duty.
 	outrankedAt time.Duration
--- a/goldcreststand/internal/hub/memberreturn_test.go
+++ b/goldcreststand/internal/hub/memberreturn_test.go
@@ -11,7 +11,7 @@
 	"goldcreststand.example/core/store"
 )
 
-// register posts that an instance has written its entry.
+// registered posts that an instance has written its entry.
 func (h *harness) registered(id ident.InstanceID) {
 	h.rev++
 	h.apply(MembersUpdate{store.Batch[ring.Member]{AsOf: h.at(), Objects: []store.Object[ring.Member]{{Name: string(id), Revision: h.rev, Value: member(id)}}}})
--- a/goldcreststand/internal/hub/storereturn.go
+++ b/goldcreststand/internal/hub/storereturn.go
@@ -26,6 +26,7 @@
 // the object, or for a limited time.
 type lost[N ~string] map[N]lostState
 
+// lostState says for how long an acknowledged state stays in force.
 type lostState struct {
 	// at is the position of the list that shows the loss.
 	at    store.Position
@@ -80,7 +81,7 @@
 	at          time.Time
 }
 
-// holdLeaves keeps servers out of use that leave or were removed, and are listed as ready after the store's return.
+// holdLeaves keeps servers out of use that leave or were removed, and are ready in the first list after the store's return.
 func (st *state) holdLeaves(b store.Batch[roster.ServiceServer]) {
 	var back []ident.ServerID
 	for _, o := range b.Objects {
